Pool shares under one thread over all engines; age reports into the fleet's mean

Cause: at full size a share of an engine is a tenth to a third of a thread. Nearly all reports were older than one aim and counted for nothing.

Change: under pressure a share below the narrowest query is pooled over the engines and paid for in threads' time; memory is pooled too; pressure without reports is run time over the quickest pace seen; a report loses weight with age to the fleet's mean.

Also guards against any lasting jam that no report shows; harm: a gateway with far more than its share of the traffic is held to its share while the fleet is pressed.

--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -7,13 +7,12 @@
 from collections import deque
 from heapq import heapify, heappop, heappush
 from math import exp, inf, log
-from statistics import fmean as mean
 from statistics import median
 
 from ashcross.gateway import interface as api
 from ashcross.gateway.interface import Effect, Group, ListKind, Mode, NoteKind, Outcome
 from ashcross.gateway.leastsq import Line, Moments, Quadratic
-from ashcross.gateway.state import LONG_AGO, Attempt, ClassState, Engine, Request
+from ashcross.gateway.state import LONG_AGO, Attempt, Bucket, ClassState, Engine, Request, Window
 
 # PAQRS, from the paper and the design page
 BATCH, BATCH_PER_CLASS, BATCH_US = 30, 10, 5_000_000  # completions that close a batch, or us (design page)
@@ -31,8 +30,7 @@
 SUSPECT, TRUST = 1.8, 1.3  # slowness against the median engine for trials only, and for full use again
 PRIOR = 3.0  # weight of the belief that an engine is sound, in attempts
 TRIAL_FIRST, TRIAL_MOST = 10, 100  # gap before the first trial and the longest, in ticks
-KILL, SPREAD = 3.0, 3.0  # multiple of its expected time, and mean deviations of the class's logs, past which
-# an attempt is called off: a bad plan or a sick engine
+KILL, SPREAD = 3.0, 3.0  # times its expected time, and mean deviations of logs, to call an attempt off
 KILLS = 2  # most attempts of one request called off: after that its cost is taken as its own
 BURST_US = 2e6  # a tenant may send this long an allowance at once, us
 LEARN = 0.05  # weight of one outcome in a class's running means
@@ -57,7 +55,7 @@
         aim_us = min(kind.aim_us for kind in settings.classes)
         self.narrow = min(kind.threads for kind in settings.classes)
         self.tick_us = max(settings.step_us, aim_us // TICKS)
-        self.fresh_us, self.decay = FRESH * aim_us, exp(-self.tick_us / (FADE * aim_us))
+        self.fresh_us, self.fade_us = FRESH * aim_us, FADE * aim_us
         self.engines: dict[str, Engine] = {}
         self.requests: dict[str, Request] = {}
         self.out: dict[tuple[str, int], Attempt] = {}
@@ -65,14 +63,16 @@
         self.ends: list[tuple[int, int, Request]] = []
         self.keys: dict[str, deque[Request]] = {}
         self.rest: dict[str, int] = {}
-        self.cold: dict[tuple[str, int], deque[tuple[int, float]]] = {}  # when, and work
-        self.taken: deque[tuple[int, float]] = deque()
-        self.extra: deque[tuple[int, float]] = deque()
-        self.rates = {t.name: t.allowance_per_s * self.share / 1e6 for t in settings.tenants}
-        self.buckets: dict[str, tuple[float, int]] = {}
+        self.cold: dict[tuple[str, int], Window] = {}  # work sent, by process
+        self.taken, self.extra = (Window(settings.ration_window_us + more) for more in (0, 1))
+        rates = {t.name: t.allowance_per_s * self.share / 1e6 for t in settings.tenants}
+        self.buckets = {name: Bucket(rate, BURST_US * rate) for name, rate in rates.items()}
         self.serial, self.ticking, self.asked_us, self.subscribed = 0, False, LONG_AGO, False
         self.level, self.low, self.high = 1.0, 1.0, 1.0  # in cores x share: now, least and most tried
         self.curve, self.line, self.busy, self.batch_us = Quadratic(), Line(), Moments(), LONG_AGO
+        self.pool, self.pool_mb, self.memory_mb = 0.0, 0.0, 0.0  # our shares of all engines; our needs out
+        self.credit_us, self.health_us = 0.0, LONG_AGO  # threads' time earned and not spent
+        self.strain = 0.0  # mean log of run times over the quickest pace seen of their class
         self.actions: list[api.Action] = []
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -94,11 +94,9 @@
                 elif event.kind is NoteKind.PROGRESS:
                     attempt.total_us = (now - attempt.sent_us) / max(event.value, 0.01)  # as it goes so far
             case api.Probed() if (engine := self.engines.get(event.engine)):
-                engine.report, engine.report_us = event.report, now
+                self._hear(engine, event.report, now)
                 if event.outcome is not Outcome.GOOD:
                     self._evidence(engine, CLIP)
-            case api.Started() if event.request in self.requests:
-                self.requests[event.request].streaming = True
             case api.ClientGone() if (request := self.requests.get(event.request)) and not request.over:
                 self._over(request, now, False)
         self.batch_us = now if self.batch_us == LONG_AGO else self.batch_us
@@ -107,8 +105,6 @@
             self.actions.append(api.SetTimer(now + self.tick_us, 0))
         return self.actions
 
-    # ---------------------------------------------------------------- engines
-
     def _members(self, now: int, event: api.EngineList) -> None:
         if event.kind is not ListKind.CACHED:  # after a failure the old list holds; the next tick asks again
             self.subscribed = event.kind is not ListKind.FAILED
@@ -116,19 +112,22 @@
             named = {entry.engine for entry in event.entries}
             self.engines = {name: engine for name, engine in self.engines.items() if name in named}
         for entry in event.entries:
+            kind, engine = self.kinds.get(entry.kind), self.engines.pop(entry.engine, None)
             if entry.mode is Mode.GONE:
-                self.engines.pop(entry.engine, None)
                 continue
-            kind, engine = self.kinds.get(entry.kind), self.engines.get(entry.engine)
             if engine is None or entry.boot_us != engine.entry.boot_us:  # a new process: all learned is void
                 engine = Engine(entry, kind.cores if kind else 1.0, kind.memory_mb if kind else 0.0)
                 engine.spent = engine.expected = PRIOR
             engine.entry, engine.ready = entry, entry.mode is Mode.READY
             self.engines[entry.engine] = engine
+        self._health(now)
         self._pump(now)
 
-    def _fresh(self, engine: Engine, now: int) -> dict[str, float]:
-        return engine.report if now - engine.report_us <= self.fresh_us else {}
+    @staticmethod
+    def _hear(engine: Engine, report: dict[str, float], now: int) -> None:
+        """Take in a report: what is scarcest of cores, memory or disks is the engine's load."""
+        engine.report_us, engine.told, engine.cpu = now, float(bool(report)), report.get("cpu", 0.0)
+        engine.busy = engine.load = max((report.get(name, 0.0) for name in ("cpu", "x0", "x1")), default=0.0)
 
     def _cold(self, engine: Engine, now: int) -> bool:
         return engine.entry.boot_us > 0 and now - engine.entry.boot_us < self.s.ramp_us
@@ -140,22 +139,22 @@
 
     def _fits(self, request: Request, engine: Engine, now: int) -> bool:
         """May the engine take this query under its level?"""
-        capacity, report = self._capacity(engine, now), self._fresh(engine, now)
-        threads, level = request.kind.threads, self.level * capacity
+        capacity, threads = self._capacity(engine, now), request.kind.threads
+        level = self.level * capacity
         if engine.suspect:  # a bounded trial: one narrow query at a time, at growing gaps
             return not engine.threads and now >= engine.trial_us and threads == self.narrow
         room_mb = UTIL_HIGH * engine.size_mb * self.share
-        if engine.memory_mb and room_mb and engine.memory_mb + request.need_mb > room_mb:
+        if engine.memory_mb and engine.memory_mb + request.need_mb > room_mb > 0:
             return False
+        if self.memory_mb and self.memory_mb + request.need_mb > UTIL_HIGH * self.pool_mb > 0:
+            return False  # with a share under one query, one on each engine would be too much
         if engine.threads + threads <= level:
             return True
-        if report:
-            pressed = max(report.get("cpu", 0.0), report.get("x0", 0.0), report.get("x1", 0.0)) >= UTIL_HIGH
-        else:
-            pressed = engine.slow >= PRESSED
-        if not pressed:  # cores that a report shows idle are anyone's: shares alone would strand them
-            idle = CAP * engine.cores * max(0.0, UTIL_HIGH - report.get("cpu", UTIL_HIGH))
+        if engine.load < UTIL_HIGH:  # cores that a report shows idle are anyone's: shares would strand them
+            idle = CAP * engine.cores * (UTIL_HIGH - engine.load) * engine.told
             return engine.threads < CAP * capacity + idle
+        if level < self.narrow:  # a share under one thread: our shares of all engines are pooled, and a query
+            return self.credit_us >= 0.0  # waits until the threads' time spent so far is paid for
         # wider than the level: it starts after a rest of our threads that pays for the excess
         rest = self._run_us(request) * (threads / level - 1)
         return threads > level and not engine.threads and now - engine.idle_us >= rest
@@ -169,7 +168,7 @@
             if not self._may_send(request, engine, now) or not self._fits(request, engine, now):
                 continue
             busy = (engine.threads + request.kind.threads) / self._capacity(engine, now)
-            busy = (busy + CAP * self._fresh(engine, now).get("cpu", busy / CAP)) / 2
+            busy = (1.0 - engine.told / 2) * busy + engine.told / 2 * CAP * engine.busy
             cost = busy * engine.rel * (WARM if tables in engine.groups else 1.0)
             stuck = (request.kind.is_load or request.kind.waits_for_loads) and engine.loads.get(tables)
             cost += CAP * (bool(stuck) + (engine is request.avoid))  # behind our own load, or where it failed
@@ -186,22 +185,38 @@
 
     def _health(self, now: int) -> None:
         """One measure for slow, hung, failing, unreachable or crowded: time spent over time expected."""
-        ready = [e for e in self.engines.values() if e.ready]
+        ready, span_us = [e for e in self.engines.values() if e.ready], now - self.health_us
+        self.health_us = now
         for engine in ready:
-            fade = self.decay ** (not engine.suspect)  # only a trial clears a suspect, not time
+            fade = 1.0 if engine.suspect else exp(-span_us / self.fade_us)  # only a trial clears a suspect
             engine.spent = PRIOR + (engine.spent - PRIOR) * fade
             engine.expected = PRIOR + (engine.expected - PRIOR) * fade
-            ratios = [(now - a.sent_us) / a.expected_us for a in self.out.values() if a.engine is engine]
-            overdue = [min(ratio, CLIP) for ratio in ratios if ratio > 1]  # evidence before they end
-            engine.slow = (engine.spent + sum(overdue)) / (engine.expected + len(overdue))
+            engine.overdue, engine.late = 0.0, 0
+        for attempt in self.out.values():  # evidence before they end
+            ratio = (now - attempt.sent_us) / attempt.expected_us
+            if ratio > 1:
+                attempt.engine.overdue += min(ratio, CLIP)
+                attempt.engine.late += 1
         if not ready:
             return
-        told = [e.report["cpu"] for e in ready if "cpu" in self._fresh(e, now)]
-        ours = sum(e.threads for e in ready) / sum(CAP * self._capacity(e, now) for e in ready)
-        self.busy.add(mean(told) if told else ours)
+        self.pool = sum(self._capacity(e, now) for e in ready)
+        self.pool_mb = sum(e.size_mb for e in ready) * self.share
+        for engine in ready:
+            engine.slow = (engine.spent + engine.overdue) / (engine.expected + engine.late)
+            engine.told = min(engine.told, exp((engine.report_us - now) / self.fade_us))
+        told = sum(e.told for e in ready)
+        ours = sum(e.threads for e in ready) / (CAP * self.pool)
+        self.busy.add(sum(e.told * e.cpu for e in ready) / told if told >= 1.0 else ours)
+        # what is heard of the fleet stands in for what is not heard of one engine; pace counts as one report
+        fleet = UTIL_HIGH * exp(self.strain) / PRESSED
+        fleet = (fleet + sum(e.told * e.busy for e in ready)) / (1.0 + told)
+        earned = self.level * self.pool  # what was sent without pressure owes nothing
+        owed_us = self.credit_us if fleet >= UTIL_HIGH else max(0.0, self.credit_us)
+        self.credit_us = min(earned * self.fresh_us, owed_us + earned * span_us)
         typical = max(1.0, median(e.slow for e in ready))  # most slow: blame the load
         for engine in ready:
             engine.rel = max(0.5, engine.slow / typical)
+            engine.load = engine.told * engine.busy + (1.0 - engine.told) * fleet * engine.rel
             if engine.rel >= SUSPECT and not engine.suspect:
                 engine.suspect, engine.gap_us = True, TRIAL_FIRST * self.tick_us
                 engine.trial_us = now + engine.gap_us
@@ -210,8 +225,6 @@
                 engine.suspect = False
                 self.actions.append(api.Log(f"trusted {engine.entry.engine}"))
 
-    # --------------------------------------------------------------- requests
-
     def _run_us(self, request: Request) -> float:
         """Expected run time: estimated work over threads, at the pace seen of its class."""
         return max(1.0, request.work_us / request.kind.threads) * exp(request.state.pace)
@@ -219,16 +232,17 @@
     def _accept(self, now: int, event: api.Accept) -> None:
         kind, state = self.s.classes[event.class_index], self.classes[event.class_index]
         request = self.requests[event.request] = Request(event, kind, state, now + event.left_us)
-        self.taken.append((now, 1.0))
+        self.taken.add(now, 1.0)
         if event.hint_us:
             state.seen += 1
             state.work_us += (event.hint_us - state.work_us) * max(LEARN, 1.0 / state.seen)
         request.work_us = float(event.hint_us or state.work_us or kind.aim_us * kind.threads)
         request.price_us = state.work_us or request.work_us  # as rule 4 counts it
         request.need_mb = event.memory_mb * exp(state.memory)
-        stretch_us = int(kind.aim_stretch * request.work_us / kind.threads)
-        request.aim_us = min(now + kind.aim_us + stretch_us, request.deadline_us)
-        request.within = self._within(now, event.tenant or "")
+        aim_us = kind.aim_us + int(kind.aim_stretch * request.work_us / kind.threads)
+        request.aim_us = min(now + aim_us, request.deadline_us)
+        bucket = self.buckets.get(event.tenant or "")  # what a tenant sends beyond its allowance: the reserve
+        request.within = bucket is None or bucket.take(now)
         request.regular = request.within and state.regular < state.quota
         state.regular += request.regular
         per_work = (request.aim_us - now) / max(1.0, request.work_us)
@@ -243,15 +257,6 @@
             self._end(request, now)  # no tick may come before its deadline
         self._pump(now)
 
-    def _within(self, now: int, tenant: str) -> bool:
-        """A token bucket for each tenant: what it sends beyond its allowance goes to the reserve."""
-        rate = self.rates.get(tenant, inf)
-        tokens, since_us = self.buckets.get(tenant, (BURST_US * rate, now - 1))
-        tokens = min(BURST_US * rate, tokens + (now - since_us) * rate)
-        if tenant in self.rates:
-            self.buckets[tenant] = (tokens - (tokens >= 1.0), now)
-        return tokens >= 1.0
-
     def _hold(self, request: Request, slack_us: float, now: int) -> None:
         request.queued, request.hold_us = True, now + int(HOLD * slack_us)
         self.serial += 1
@@ -298,16 +303,8 @@
         late = kind.effect is Effect.KEYED and ran and now - ran[0].sent_us > KEYED * kind.window_us
         if late or ran and kind.effect is Effect.UNSAFE:
             return False
-        taken = self._since(self.taken, now - s.ration_window_us)
-        extra = self._since(self.extra, now - s.ration_window_us - 1)
-        return not s.ration_window_us or extra + 1 <= s.ration_free + s.ration_share * taken
-
-    @staticmethod
-    def _since(items: deque[tuple[int, float]], start_us: int) -> float:
-        """Forget what came at or before that time, and sum the rest."""
-        while items and items[0][0] <= start_us:
-            items.popleft()
-        return sum(amount for _, amount in items)
+        allowed = s.ration_free + s.ration_share * self.taken.total(now)
+        return not s.ration_window_us or self.extra.total(now) + 1 <= allowed
 
     def _may_send(self, request: Request, engine: Engine, now: int) -> bool:
         """Rules 2, 3, 4 and 6, for one engine."""
@@ -321,9 +318,9 @@
                     return False
         if not self._cold(engine, now):
             return True
-        budget = s.fall_multiple * s.cold_from * UTIL_HIGH * engine.cores * self.share * s.fall_us
-        sent = self._since(self.cold.get(engine.process(), deque()), now - s.fall_us)
-        return sent + request.price_us <= COLD * budget
+        budget = COLD * s.fall_multiple * s.cold_from * UTIL_HIGH * engine.cores * self.share * s.fall_us
+        sent = self.cold.setdefault(engine.process(), Window(s.fall_us)).total(now)
+        return sent + request.price_us <= budget
 
     def _send(self, request: Request, engine: Engine, now: int) -> None:
         """The one place that emits a send."""
@@ -333,24 +330,25 @@
         if s.grants_count or s.priorities:
             most_mb = s.largest_share * engine.size_mb or inf
             grant = min(GRANT * request.need_mb, most_mb) if s.grants_count else 0.0
-            dense = kind.worth >= DENSE * request.work_us / 1e6
-            lane = 0 if not request.within or request.kills >= KILLS else 3 if dense else 1
+            lane = 3 if kind.worth >= DENSE * request.work_us / 1e6 else 1
+            lane *= request.within and request.kills < KILLS
             self.actions.append(api.Terms(request.event.request, grant, lane))
         self.actions.append(api.Send(request.event.request, engine.entry.engine, 0))
         if request.attempts:
-            self.extra.append((now, 1.0))
+            self.extra.add(now, 1.0)
         attempt = Attempt(engine, now, self._run_us(request), request.need_mb)
         self.out[request.event.request, len(request.attempts)] = attempt
         request.attempts.append(attempt)
         engine.threads += kind.threads
         engine.memory_mb += request.need_mb
+        self.memory_mb += request.need_mb
+        self.credit_us -= attempt.expected_us * kind.threads
         request.state.running += 1
         request.state.peak = max(request.state.peak, request.state.running)
         engine.groups = [*[g for g in engine.groups if g != tables][1 - WARM_GROUPS :], tables]
-        if kind.is_load:
-            engine.loads[tables] = engine.loads.get(tables, 0) + 1
+        engine.loads[tables] = engine.loads.get(tables, 0) + kind.is_load
         if self._cold(engine, now):  # kept by process, so a list that flaps does not renew the budget
-            self.cold.setdefault(engine.process(), deque()).append((now, request.price_us))
+            self.cold[engine.process()].add(now, request.price_us)
         if engine.suspect:
             engine.gap_us = min(2 * engine.gap_us, TRIAL_MOST * self.tick_us)
             engine.trial_us = now + engine.gap_us
@@ -366,16 +364,21 @@
         state.running -= 1
         engine.memory_mb = engine.memory_mb - attempt.memory_mb if engine.threads else 0.0
         engine.idle_us = now
-        if kind.is_load:
-            engine.loads[tables] -= 1
+        self.memory_mb = self.memory_mb - attempt.memory_mb if self.out else 0.0
+        self.credit_us += (attempt.expected_us - event.latency_us) * kind.threads
+        engine.loads[tables] -= kind.is_load
         if event.report:
-            engine.report, engine.report_us = event.report, now
+            self._hear(engine, event.report, now)
         if event.outcome not in (Outcome.FULL, Outcome.MOOT):
             broken = event.outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
             self._evidence(engine, CLIP if broken else event.latency_us / attempt.expected_us)
         if event.outcome is Outcome.GOOD:
             ratio = max(1 / CLIP, min(CLIP, event.latency_us / max(1.0, self._run_us(request))))
-            state.pace += LEARN * log(ratio)
+            self.strain += LEARN * (log(ratio) + state.pace - state.quickest - self.strain)
+            state.answered += 1
+            state.pace += max(LEARN, 1.0 / state.answered) * log(ratio)
+            rise = LEARN * LEARN if state.answered > BATCH_PER_CLASS else 1.0  # a jam is not the usual
+            state.quickest = min(state.pace, state.quickest + rise * (state.pace - state.quickest))
             state.spread += LEARN * (abs(log(ratio)) - state.spread)
             if event.need_mb and request.event.memory_mb:
                 state.memory += LEARN * (log(event.need_mb / request.event.memory_mb) - state.memory)
@@ -402,8 +405,7 @@
         late = now + 2 * (self.tick_us + s.step_us)
         while self.ends and (self.ends[0][2].over or self.ends[0][0] <= late):
             request = heappop(self.ends)[2]
-            if not request.streaming:
-                self._end(request, now)
+            self._end(request, now)
         self._call_off(now)
         for *_, request in self.queue:
             if request.queued and now >= request.hold_us:
@@ -414,9 +416,7 @@
         self.requests = {k: r for k, r in self.requests.items() if not r.over or r.outs()}
         self.rest = {key: at for key, at in self.rest.items() if at > now}
         self.keys = {k: q for k, q in self.keys.items() if any(not r.over or r.outs() for r in q)}
-        self.cold = {k: q for k, q in self.cold.items() if self._since(q, now - s.fall_us)}
-        self._since(self.taken, now - s.ration_window_us)
-        self._since(self.extra, now - s.ration_window_us)
+        self.cold = {k: w for k, w in self.cold.items() if w.total(now)}
         if s.probes and s.report_fields and not s.reports_inline and self.requests:
             for engine in self.engines.values():
                 if engine.ready and now - engine.probed_us >= self.fresh_us:
@@ -428,7 +428,7 @@
         """Cancel attempts far over their expected time: bad plans, hung and sick engines."""
         for (ident, number), attempt in self.out.items():
             request = self.requests[ident]
-            if request.over or attempt.called_off or request.streaming or request.kills >= KILLS:
+            if request.over or attempt.called_off or request.kills >= KILLS:
                 continue
             sick = attempt.engine.suspect  # there neither the spread nor a far aim counts
             spread = KILL if attempt.total_us or sick else max(KILL, exp(SPREAD * request.state.spread))
@@ -442,16 +442,13 @@
                 request.kills += 1
                 self.actions.append(api.Cancel(ident, number))
 
-    # ------------------------------------------------------------------- ends
-
     def _end(self, request: Request, now: int) -> None:
         """The one place that ends a request, once: refused where rule 2 lets us say so, else failed."""
         if request.over:
             return
         kind, ran, ident = request.kind, request.ran(), request.event.request
-        known = kind.effect is Effect.KEYED and kind.group is Group.ALL
-        recent = not ran or now - ran[0].sent_us <= KEYED * kind.window_us
-        harmless = not ran or kind.effect is Effect.SAFE or known and recent
+        harmless = not ran or kind.effect is Effect.SAFE or kind.effect is Effect.KEYED and (
+            kind.group is Group.ALL and now - ran[0].sent_us <= KEYED * kind.window_us)
         back_us = min(self.s.max_retry_after_us, kind.aim_us) * self.s.retry_after
         self.actions.append(api.Refuse(ident, back_us) if harmless else api.Fail(ident))
         self._over(request, now, False)
@@ -468,8 +465,6 @@
                 self.actions.append(api.Cancel(request.event.request, number))
         self._batch(now)
 
-    # ------------------------------------------------------------------ PAQRS
-
     def _batch(self, now: int) -> None:
         """Close a batch when it is full or old: fit, new level, new quotas."""
         done, due = [c.done for c in self.classes], now - self.batch_us >= BATCH_US
@@ -499,8 +494,7 @@
         bottom = -curve[1] / (2 * curve[2]) if curve[2] else inf
         if low < bottom < high:
             return bottom if curve[2] > 0 else by_use  # bowl, hill
-        ready = [e.cores for e in self.engines.values() if e.ready]
-        step = len(ready) / (sum(ready) * self.share) if ready else 0.0  # one thread on each engine
+        step = len(self.engines) / self.pool if self.pool else 0.0  # one thread on each engine
         rise = (curve[1] + curve[2] * (low + high)) * (high - low)
         if not rise:
             return self.level
--- a/ashcross/gateway/state.py
+++ b/ashcross/gateway/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from math import inf
 
@@ -11,6 +12,49 @@
 LONG_AGO = -(1 << 62)
 
 
+class Window:
+    """Amounts by time, summed over the span that ends now."""
+
+    __slots__ = ("_items", "_span_us", "_sum")
+
+    def __init__(self, span_us: int) -> None:
+        self._span_us, self._sum = span_us, 0.0
+        self._items: deque[tuple[int, float]] = deque()
+
+    def add(self, now: int, amount: float) -> None:
+        """Count an amount."""
+        self._items.append((now, amount))
+        self._sum += amount
+        self.total(now)
+
+    def total(self, now: int) -> float:
+        """Forget what is a span old or older, and sum the rest."""
+        while self._items and self._items[0][0] <= now - self._span_us:
+            self._sum -= self._items.popleft()[1]
+        if not self._items:
+            self._sum = 0.0
+        return self._sum
+
+
+@dataclass(eq=False, slots=True)
+class Bucket:
+    """Tokens that come in at a rate, up to a most."""
+
+    rate: float  # a us
+    most: float
+    tokens: float = inf
+    at_us: int = 0
+
+    def take(self, now: int) -> bool:
+        """Take one token if there is one."""
+        self.tokens = min(self.most, self.tokens + (now - self.at_us) * self.rate)
+        self.at_us = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
 @dataclass(eq=False, slots=True)
 class Engine:
     """One engine as this gateway knows it: entry, own threads, own evidence, report."""
@@ -21,18 +65,23 @@
     ready: bool = False
     threads: int = 0
     memory_mb: float = 0.0  # needs of our attempts out
-    idle_us: int = LONG_AGO  # when an attempt of ours last ended
     out: dict[tuple[str, int], Attempt] = field(default_factory=dict)
+    idle_us: int = LONG_AGO  # when an attempt of ours last ended
     loads: dict[int, int] = field(default_factory=dict)  # our running loads by group of tables
     spent: float = 0.0  # evidence: times of attempts over what was expected, summed and fading
     expected: float = 0.0  # the count of the same
+    overdue: float = 0.0  # the same of attempts out past what was expected, and their count
+    late: int = 0
     slow: float = 1.0  # spent over expected
     rel: float = 1.0  # the same against the typical engine
     suspect: bool = False
     trial_us: int = 0
     gap_us: int = 0
-    report: dict[str, float] = field(default_factory=dict)
+    cpu: float = 0.0  # of its last report: cores, and the scarcest of cores, memory and disks
+    busy: float = 0.0
     report_us: int = LONG_AGO
+    told: float = 0.0  # weight of the report by its age
+    load: float = 0.0  # share of it in use, from its report and what is known of the others
     probed_us: int = LONG_AGO
     groups: list[int] = field(default_factory=list)  # groups of tables sent there, latest last
 
@@ -75,7 +124,6 @@
     kills: int = 0
     over: bool = False
     queued: bool = False
-    streaming: bool = False
 
     def outs(self) -> int:
         """Attempts without an outcome."""
@@ -95,6 +143,8 @@
     work_us: float = 0.0  # mean hint
     seen: int = 0
     pace: float = 0.0  # log of observed over estimated run time
+    quickest: float = 0.0  # lowest such mean, rising slowly
+    answered: int = 0
     memory: float = 0.0  # the same for memory
     quota: float = inf
     regular: int = 0
--- a/tests/test_paqrs.py
+++ b/tests/test_paqrs.py
@@ -221,3 +221,44 @@
     assert isinstance(finals(world.pass_us(2_000_000))[0], api.Refuse)
     world.accept()
     assert len(sends(world.listed([entry("e0")]))) == 1
+
+
+def test_share_under_one_thread_is_pooled_over_the_engines() -> None:
+    conf = settings(LOOKUP, instances=32, report_fields=("cpu",), reports_inline=True)
+    world = World(conf, engines=8)  # 64 cores, two threads ours, a quarter of one on each engine
+    for engine in range(8):
+        world.do(api.Probed(f"e{engine}", api.Outcome.GOOD, 1, {"cpu": 1.0}))
+    world.pass_us(100_000)
+    busy_us, span_us = 0, 20_000_000
+    out: list[tuple[int, api.Send]] = []
+    end = world.now + span_us
+    while world.now < end:
+        for engine in range(8):
+            world.do(api.Probed(f"e{engine}", api.Outcome.GOOD, 1, {"cpu": 1.0}))
+        for send in sends(world.accept(hint_us=500_000)) + sends(world.pass_us(100_000)):
+            out.append((world.now, send))
+        for at, send in [item for item in out if item[0] + 500_000 <= world.now]:
+            out.remove((at, send))
+            busy_us += world.now - at
+            for more in sends(world.settle(send.request, send.engine, latency_us=world.now - at)):
+                out.append((world.now, more))
+    threads = busy_us / span_us
+    assert 0.5 * 2 <= threads <= 2 * 2.2  # near our two threads at levels between 0.75 and 2, never starved
+
+
+def test_lasting_jam_is_not_taken_for_the_usual_pace() -> None:
+    world = World(settings(LOOKUP), engines=2)
+    for latency_us in [100_000] * 40 + [600_000] * 60:  # no reports: the pace alone tells
+        for send in sends(world.accept(hint_us=100_000)):
+            world.settle(send.request, send.engine, latency_us=latency_us)
+        world.pass_us(100_000)
+    assert all(engine.load >= 0.85 for engine in world.gateway.engines.values())
+
+
+def test_unheard_engines_are_judged_by_what_is_heard_of_others() -> None:
+    world = World(settings(LOOKUP, report_fields=("cpu",), reports_inline=True), engines=6)
+    for engine in ("e0", "e1", "e2", "e3", "e4"):
+        world.do(api.Probed(engine, api.Outcome.GOOD, 1, {"cpu": 0.9}))
+    world.accept()
+    world.pass_us(60_000)
+    assert world.gateway.engines["e5"].load > 0.6
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -343,5 +343,5 @@
     assert len(play.referee.taken) > 1000
     left = (gateway.requests, gateway.out, gateway.queue, gateway.ends, gateway.keys, gateway.rest)
     assert [len(x) for x in left] == [0] * 6
-    assert len(gateway.taken) + len(gateway.extra) == 0
+    assert gateway.taken.total(play.world.now) + gateway.extra.total(play.world.now) == 0
     assert len(gateway.engines) <= 6 and all(len(e.groups) <= 8 for e in gateway.engines.values())
