Bound the work of a choice, ration probes, take full engines for busy ones

Change: a choice walks the engines in an order shuffled at each look at the fleet until four fit; health is looked at every fourth tick and held queries start then or on events; at most 0.3 probes a query; an engine's load counts its queries a core; full counts as load 1 and as evidence; our memory share binds only under pressure where reports tell memory.

Guards also against any herd on one report and slow growth of CPU with the fleet. Harm: in a large fleet the very best engine is often not among four.

--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -5,7 +5,7 @@
 
 import random
 from collections import deque
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 from math import exp, inf, log
 from statistics import median
 
@@ -25,7 +25,9 @@
 PRESSED = 1.5  # slowness at which an engine without a fresh report shows pressure
 FRESH, FADE = 1.0, 3.0  # shortest aims for which a report counts, and in which evidence on health fades
 GRANT = 1.25  # grant over the estimate, as the engines do themselves
-JITTER = 0.01  # share of a cost left to chance: breaks ties, so that gateways with equal lists do not herd
+LOOK = 4  # engines compared for a choice, and for each gateway's share of them: more would herd to one report
+PROBES = 0.3  # probes for each query taken: with many gateways their price passes what they tell
+HEALTH_TICKS = 4  # ticks between looks at all engines
 CLIP = 4.0  # most that one attempt, slow or failed, says about slowness: bad plans are not the engine's doing
 SUSPECT, TRUST = 1.8, 1.3  # slowness against the median engine for trials only, and for full use again
 PRIOR = 3.0  # weight of the belief that an engine is sound, in attempts
@@ -70,9 +72,10 @@
         self.serial, self.ticking, self.asked_us, self.subscribed = 0, False, LONG_AGO, False
         self.level, self.low, self.high = 1.0, 1.0, 1.0  # in cores x share: now, least and most tried
         self.curve, self.line, self.busy, self.batch_us = Quadratic(), Line(), Moments(), LONG_AGO
+        self.order: list[Engine] = []  # ready engines, shuffled
         self.pool, self.pool_mb, self.memory_mb = 0.0, 0.0, 0.0  # our shares of all engines; our needs out
         self.credit_us, self.health_us = 0.0, LONG_AGO  # threads' time earned and not spent
-        self.strain = 0.0  # mean log of run times over the quickest pace seen of their class
+        self.strain, self.probes = 0.0, 0.0  # mean log of run times over the quickest; probes earned
         self.actions: list[api.Action] = []
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -94,7 +97,7 @@
                 elif event.kind is NoteKind.PROGRESS:
                     attempt.total_us = (now - attempt.sent_us) / max(event.value, 0.01)  # as it goes so far
             case api.Probed() if (engine := self.engines.get(event.engine)):
-                self._hear(engine, event.report, now)
+                self._hear(engine, event.report)
                 if event.outcome is not Outcome.GOOD:
                     self._evidence(engine, CLIP)
             case api.ClientGone() if (request := self.requests.get(event.request)) and not request.over:
@@ -106,8 +109,7 @@
         return self.actions
 
     def _members(self, now: int, event: api.EngineList) -> None:
-        if event.kind is not ListKind.CACHED:  # after a failure the old list holds; the next tick asks again
-            self.subscribed = event.kind is not ListKind.FAILED
+        self.subscribed = event.kind in (ListKind.DELTA, ListKind.FULL)  # after a failure a tick asks again
         if event.kind in (ListKind.FULL, ListKind.CACHED):
             named = {entry.engine for entry in event.entries}
             self.engines = {name: engine for name, engine in self.engines.items() if name in named}
@@ -124,10 +126,11 @@
         self._pump(now)
 
     @staticmethod
-    def _hear(engine: Engine, report: dict[str, float], now: int) -> None:
-        """Take in a report: what is scarcest of cores, memory or disks is the engine's load."""
-        engine.report_us, engine.told, engine.cpu = now, float(bool(report)), report.get("cpu", 0.0)
-        engine.busy = engine.load = max((report.get(name, 0.0) for name in ("cpu", "x0", "x1")), default=0.0)
+    def _hear(engine: Engine, report: dict[str, float]) -> None:
+        """Take in a report: the scarcest of cores, memory and disks, or its queries a core, is the load."""
+        crowd = report.get("active", 0.0) / engine.cores  # shares stop at 1, and disks jam with idle cores
+        engine.told, engine.cpu = float(bool(report)), report.get("cpu", 0.0)
+        engine.busy = engine.load = max(crowd, *(report.get(name, 0.0) for name in ("cpu", "x0", "x1")))
 
     def _cold(self, engine: Engine, now: int) -> bool:
         return engine.entry.boot_us > 0 and now - engine.entry.boot_us < self.s.ramp_us
@@ -143,11 +146,11 @@
         level = self.level * capacity
         if engine.suspect:  # a bounded trial: one narrow query at a time, at growing gaps
             return not engine.threads and now >= engine.trial_us and threads == self.narrow
-        room_mb = UTIL_HIGH * engine.size_mb * self.share
-        if engine.memory_mb and engine.memory_mb + request.need_mb > room_mb > 0:
-            return False
-        if self.memory_mb and self.memory_mb + request.need_mb > UTIL_HIGH * self.pool_mb > 0:
-            return False  # with a share under one query, one on each engine would be too much
+        if engine.load >= UTIL_HIGH or "x0" not in self.s.report_fields:  # where told, it binds as cores do
+            room_mb = engine.size_mb * self.share  # and of all engines: one large query on each is too much
+            for held_mb, most_mb in ((engine.memory_mb, room_mb), (self.memory_mb, self.pool_mb)):
+                if held_mb and held_mb + request.need_mb > UTIL_HIGH * most_mb > 0:
+                    return False
         if engine.threads + threads <= level:
             return True
         if engine.load < UTIL_HIGH:  # cores that a report shows idle are anyone's: shares would strand them
@@ -162,18 +165,20 @@
     def _choose(self, request: Request, now: int) -> Engine | None:
         """The engine with the least cost: our threads and its report, slowness, warm tables, rooms."""
         best, best_cost, tables = None, inf, request.event.tables
-        if not self._may_try(request, now):
+        if not self._may_try(request, now) or not self.order:
             return None
-        for engine in self.engines.values():
-            if not self._may_send(request, engine, now) or not self._fits(request, engine, now):
+        start, left = self.random.randrange(len(self.order)), max(LOOK, LOOK * len(self.order) * self.share)
+        for engine in self.order[start:] + self.order[:start]:
+            if left <= 0 or not self._may_send(request, engine, now) or not self._fits(request, engine, now):
                 continue
-            busy = (engine.threads + request.kind.threads) / self._capacity(engine, now)
-            busy = (1.0 - engine.told / 2) * busy + engine.told / 2 * CAP * engine.busy
-            cost = busy * engine.rel * (WARM if tables in engine.groups else 1.0)
-            stuck = (request.kind.is_load or request.kind.waits_for_loads) and engine.loads.get(tables)
-            cost += CAP * (bool(stuck) + (engine is request.avoid))  # behind our own load, or where it failed
+            left -= 1
+            own = (engine.threads + request.kind.threads) / self._capacity(engine, now)
+            cost = own + (CAP * engine.busy - own) * engine.told / 2  # half by its report, less as that ages
+            cost *= engine.rel * (WARM if tables in engine.groups else 1.0)
+            stuck = engine.loads.get(tables, 0) * (request.kind.is_load or request.kind.waits_for_loads)
+            cost += CAP * (stuck + (engine is request.avoid))  # behind our own loads, or where it failed
             cost *= 1.0 + self.s.cross_zone_price * (engine.entry.zone != self.s.zone)
-            cost *= (1 + JITTER * self.random.random()) * (not engine.suspect)  # trials that are due go first
+            cost *= not engine.suspect  # trials that are due go first
             if cost < best_cost:
                 best, best_cost = engine, cost
         return best
@@ -186,12 +191,13 @@
     def _health(self, now: int) -> None:
         """One measure for slow, hung, failing, unreachable or crowded: time spent over time expected."""
         ready, span_us = [e for e in self.engines.values() if e.ready], now - self.health_us
-        self.health_us = now
+        self.health_us, self.order, fade = now, ready, exp(-span_us / self.fade_us)
+        self.random.shuffle(ready)
         for engine in ready:
-            fade = 1.0 if engine.suspect else exp(-span_us / self.fade_us)  # only a trial clears a suspect
-            engine.spent = PRIOR + (engine.spent - PRIOR) * fade
-            engine.expected = PRIOR + (engine.expected - PRIOR) * fade
-            engine.overdue, engine.late = 0.0, 0
+            engine.told, engine.overdue, engine.late = engine.told * fade, 0.0, 0
+            if not engine.suspect:  # only a trial clears a suspect, not time
+                engine.spent = PRIOR + (engine.spent - PRIOR) * fade
+                engine.expected = PRIOR + (engine.expected - PRIOR) * fade
         for attempt in self.out.values():  # evidence before they end
             ratio = (now - attempt.sent_us) / attempt.expected_us
             if ratio > 1:
@@ -203,23 +209,20 @@
         self.pool_mb = sum(e.size_mb for e in ready) * self.share
         for engine in ready:
             engine.slow = (engine.spent + engine.overdue) / (engine.expected + engine.late)
-            engine.told = min(engine.told, exp((engine.report_us - now) / self.fade_us))
-        told = sum(e.told for e in ready)
+        told, heard = sum(e.told for e in ready), sum(e.told * e.busy for e in ready)
         ours = sum(e.threads for e in ready) / (CAP * self.pool)
         self.busy.add(sum(e.told * e.cpu for e in ready) / told if told >= 1.0 else ours)
         # what is heard of the fleet stands in for what is not heard of one engine; pace counts as one report
-        fleet = UTIL_HIGH * exp(self.strain) / PRESSED
-        fleet = (fleet + sum(e.told * e.busy for e in ready)) / (1.0 + told)
+        fleet = (UTIL_HIGH * exp(self.strain) / PRESSED + heard) / (1.0 + told)
         earned = self.level * self.pool  # what was sent without pressure owes nothing
         owed_us = self.credit_us if fleet >= UTIL_HIGH else max(0.0, self.credit_us)
         self.credit_us = min(earned * self.fresh_us, owed_us + earned * span_us)
-        typical = max(1.0, median(e.slow for e in ready))  # most slow: blame the load
+        typical, first_us = max(1.0, median(e.slow for e in ready)), TRIAL_FIRST * self.tick_us
         for engine in ready:
-            engine.rel = max(0.5, engine.slow / typical)
+            engine.rel = max(0.5, engine.slow / typical)  # when most are slow the load is to blame
             engine.load = engine.told * engine.busy + (1.0 - engine.told) * fleet * engine.rel
             if engine.rel >= SUSPECT and not engine.suspect:
-                engine.suspect, engine.gap_us = True, TRIAL_FIRST * self.tick_us
-                engine.trial_us = now + engine.gap_us
+                engine.suspect, engine.gap_us, engine.trial_us = True, first_us, now + first_us
                 self.actions.append(api.Log(f"suspect {engine.entry.engine} slowness {engine.rel:.1f}"))
             elif engine.suspect and engine.rel < TRUST:
                 engine.suspect = False
@@ -233,6 +236,7 @@
         kind, state = self.s.classes[event.class_index], self.classes[event.class_index]
         request = self.requests[event.request] = Request(event, kind, state, now + event.left_us)
         self.taken.add(now, 1.0)
+        self.probes = min(len(self.order), self.probes + PROBES)
         if event.hint_us:
             state.seen += 1
             state.work_us += (event.hint_us - state.work_us) * max(LEARN, 1.0 / state.seen)
@@ -248,11 +252,10 @@
         per_work = (request.aim_us - now) / max(1.0, request.work_us)
         for moments, value in zip(state.stats, (event.memory_mb, request.work_us, per_work), strict=True):
             moments.add(value)
-        self.serial += 1
-        heappush(self.ends, (request.deadline_us, self.serial, request))
         if kind.in_turn and event.key is not None:
             self.keys.setdefault(event.key, deque()).append(request)
         self._hold(request, max(0.0, request.aim_us - now - self._run_us(request)), now)
+        heappush(self.ends, (request.deadline_us, self.serial, request))
         if event.left_us <= 2 * (self.tick_us + self.s.step_us):
             self._end(request, now)  # no tick may come before its deadline
         self._pump(now)
@@ -328,8 +331,7 @@
             return
         s, kind, tables = self.s, request.kind, request.event.tables
         if s.grants_count or s.priorities:
-            most_mb = s.largest_share * engine.size_mb or inf
-            grant = min(GRANT * request.need_mb, most_mb) if s.grants_count else 0.0
+            grant = min(GRANT * request.need_mb, s.largest_share * engine.size_mb or inf) * s.grants_count
             lane = 3 if kind.worth >= DENSE * request.work_us / 1e6 else 1
             lane *= request.within and request.kills < KILLS
             self.actions.append(api.Terms(request.event.request, grant, lane))
@@ -367,10 +369,10 @@
         self.memory_mb = self.memory_mb - attempt.memory_mb if self.out else 0.0
         self.credit_us += (attempt.expected_us - event.latency_us) * kind.threads
         engine.loads[tables] -= kind.is_load
-        if event.report:
-            self._hear(engine, event.report, now)
-        if event.outcome not in (Outcome.FULL, Outcome.MOOT):
-            broken = event.outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)
+        if event.report or event.outcome is Outcome.FULL:  # full is busy, whatever it says
+            self._hear(engine, event.report if event.outcome is not Outcome.FULL else {"cpu": 1.0})
+        if event.outcome is not Outcome.MOOT:
+            broken = event.outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.FULL)
             self._evidence(engine, CLIP if broken else event.latency_us / attempt.expected_us)
         if event.outcome is Outcome.GOOD:
             ratio = max(1 / CLIP, min(CLIP, event.latency_us / max(1.0, self._run_us(request))))
@@ -401,7 +403,6 @@
         if s.subscribe and not self.subscribed and now - self.asked_us >= s.ask_within_us / 4:
             self.asked_us = now  # asking at this pace keeps rule 3's clock from running out
             self.actions.append(api.Subscribe(True))
-        self._health(now)
         late = now + 2 * (self.tick_us + s.step_us)
         while self.ends and (self.ends[0][2].over or self.ends[0][0] <= late):
             request = heappop(self.ends)[2]
@@ -410,18 +411,18 @@
         for *_, request in self.queue:
             if request.queued and now >= request.hold_us:
                 self._end(request, now)
-        self.queue = [item for item in self.queue if item[3].queued]
-        heapify(self.queue)
-        self._pump(now)
+        self.queue = sorted(item for item in self.queue if item[3].queued)  # a sorted list is a heap
+        if now - self.health_us >= HEALTH_TICKS * self.tick_us:
+            self._health(now)
+            self._pump(now)
         self.requests = {k: r for k, r in self.requests.items() if not r.over or r.outs()}
         self.rest = {key: at for key, at in self.rest.items() if at > now}
         self.keys = {k: q for k, q in self.keys.items() if any(not r.over or r.outs() for r in q)}
         self.cold = {k: w for k, w in self.cold.items() if w.total(now)}
-        if s.probes and s.report_fields and not s.reports_inline and self.requests:
-            for engine in self.engines.values():
-                if engine.ready and now - engine.probed_us >= self.fresh_us:
-                    engine.probed_us = now
-                    self.actions.append(api.Probe(engine.entry.engine))
+        for engine in self.order if s.probes and s.report_fields and not s.reports_inline else ():
+            if self.probes >= 1.0 and now - engine.probed_us >= self.fresh_us:
+                engine.probed_us, self.probes = now, self.probes - 1.0
+                self.actions.append(api.Probe(engine.entry.engine))
         self._batch(now)
 
     def _call_off(self, now: int) -> None:
@@ -496,9 +497,8 @@
             return bottom if curve[2] > 0 else by_use  # bowl, hill
         step = len(self.engines) / self.pool if self.pool else 0.0  # one thread on each engine
         rise = (curve[1] + curve[2] * (low + high)) * (high - low)
-        if not rise:
-            return self.level
-        return max(high + step, by_use) if rise < 0 else min(low - step, by_use)
+        beyond = max(high + step, by_use) if rise < 0 else min(low - step, by_use)
+        return beyond if rise else self.level
 
     def _shifted(self) -> bool:
         """Has a class's mean memory, work or deadline per work shifted, with 99% confidence?"""
--- a/ashcross/gateway/state.py
+++ b/ashcross/gateway/state.py
@@ -77,10 +77,9 @@
     suspect: bool = False
     trial_us: int = 0
     gap_us: int = 0
-    cpu: float = 0.0  # of its last report: cores, and the scarcest of cores, memory and disks
+    cpu: float = 0.0  # of its last report: busy cores, and its load
     busy: float = 0.0
-    report_us: int = LONG_AGO
-    told: float = 0.0  # weight of the report by its age
+    told: float = 0.0  # weight of that report by its age
     load: float = 0.0  # share of it in use, from its report and what is known of the others
     probed_us: int = LONG_AGO
     groups: list[int] = field(default_factory=list)  # groups of tables sent there, latest last
