Choose engines by load plus our threads on the scale of whole engines

Cause: with a share of a tenth of a thread our own thread weighed 14 where a whole engine's load weighed 1, and a young report halved that weight whatever it said, so an engine just heard from drew the next query.

Change: cost is the engine's load plus our threads over all its cores; as the load already shrinks to the fleet's mean with age, the blend in the cost goes.

Harm: at few gateways our own threads weigh less.

--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -172,9 +172,8 @@
             if left <= 0 or not self._may_send(request, engine, now) or not self._fits(request, engine, now):
                 continue
             left -= 1
-            own = (engine.threads + request.kind.threads) / self._capacity(engine, now)
-            cost = own + (CAP * engine.busy - own) * engine.told / 2  # half by its report, less as that ages
-            cost *= engine.rel * (WARM if tables in engine.groups else 1.0)
+            own = (engine.threads + request.kind.threads) * self.share / self._capacity(engine, now)
+            cost = (engine.load + own) * engine.rel * (WARM if tables in engine.groups else 1.0)
             stuck = engine.loads.get(tables, 0) * (request.kind.is_load or request.kind.waits_for_loads)
             cost += CAP * (stuck + (engine is request.avoid))  # behind our own loads, or where it failed
             cost *= 1.0 + self.s.cross_zone_price * (engine.entry.zone != self.s.zone)
