Send to cold engines by turns; take idle cores by what the whole fleet tells

With 40 to 140 gateways a part of a cold engine's budget holds no query, so successors stood idle for 15 s. And where a shift moves traffic into one room, its gateways were held to one query an engine although reports showed idle cores.

Change: with more than three gateways the cold budget goes round by turns that follow from the engine, its start and the gateways' numbers; idle cores by an engine's load count as far as the fleet is heard of, not the one engine.

Harm: a dead gateway's turns are lost.

--- a/ashcross/drill/wire.py
+++ b/ashcross/drill/wire.py
@@ -105,6 +105,7 @@
         classes=tuple(classes),
         kinds=kinds,
         tenants=tenants,
+        me=int(_get(conf, "Me", 0)),
         instances=int(_get(conf, "Instances", 1)),
         zone=str(_get(conf, "MyZone", "")),
         step_us=int(_get(conf, "Step", 1000)),
--- a/ashcross/gateway/interface.py
+++ b/ashcross/gateway/interface.py
@@ -119,6 +119,7 @@
     classes: tuple[ClassSettings, ...]
     kinds: tuple[KindSettings, ...]
     tenants: tuple[TenantSettings, ...]
+    me: int
     instances: int
     zone: str
     step_us: int
--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -8,18 +8,17 @@
 from heapq import heappop, heappush
 from math import exp, inf, log
 from statistics import median
+from zlib import crc32
 
 from ashcross.gateway import interface as api
 from ashcross.gateway.interface import Effect, Group, ListKind, Mode, NoteKind, Outcome
 from ashcross.gateway.leastsq import Line, Moments, Quadratic
 from ashcross.gateway.state import LONG_AGO, Attempt, Bucket, ClassState, Engine, Request, Window
 
-# PAQRS, from the paper and the design page
 BATCH, BATCH_PER_CLASS, BATCH_US = 30, 10, 5_000_000  # completions that close a batch, or us (design page)
 UTIL_LOW, UTIL_HIGH = 0.70, 0.85  # the band aimed at, shares of capacity
 Z_SHIFT = 2.576  # two-sided 99% point of the normal law, in standard errors
 CAP = 2.0  # most threads of ours, in cores x share (design page)
-# Ours: shares and multiples of what settings and observations give
 FLOOR = 0.75  # lowest level in cores x share: a slowdown of everything must not starve the engines
 HOLD = 0.5  # longest hold, share of the slack before the aim: waiting longer mostly turns into misses
 PRESSED = 1.5  # slowness at which an engine without a fresh report shows pressure
@@ -37,6 +36,7 @@
 BURST_US = 2e6  # a tenant may send this long an allowance at once, us
 LEARN = 0.05  # weight of one outcome in a class's running means
 TICKS = 20  # ticks in the shortest aim
+TURNS = 3  # parts of a cold engine's budget; with more gateways than that they take turns
 COLD = 0.6  # share of the fall budget used: work is priced at class means, which scatter
 WARM, WARM_GROUPS = 0.7, 4  # cost of a query whose tables are warm, and groups remembered an engine
 KEYED = 0.9  # share of a repeat window used: the clocks that count it are the engines'
@@ -75,7 +75,7 @@
         self.order: list[Engine] = []  # ready engines, shuffled
         self.pool, self.pool_mb, self.memory_mb = 0.0, 0.0, 0.0  # our shares of all engines; our needs out
         self.credit_us, self.health_us = 0.0, LONG_AGO  # threads' time earned and not spent
-        self.strain, self.probes = 0.0, 0.0  # mean log of run times over the quickest; probes earned
+        self.heard, self.probes, self.strain = 0.0, 0.0, 0.0  # reports' weight; earned; log of pace
         self.actions: list[api.Action] = []
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -132,13 +132,10 @@
         engine.told, engine.cpu = float(bool(report)), report.get("cpu", 0.0)
         engine.busy = engine.load = max(crowd, *(report.get(name, 0.0) for name in ("cpu", "x0", "x1")))
 
-    def _cold(self, engine: Engine, now: int) -> bool:
-        return engine.entry.boot_us > 0 and now - engine.entry.boot_us < self.s.ramp_us
-
     def _capacity(self, engine: Engine, now: int) -> float:
         """Our share of an engine's cores, less while it is cold."""
-        warm = (now - engine.entry.boot_us) / self.s.ramp_us if self._cold(engine, now) else 1.0
-        return engine.cores * self.share * (self.s.cold_from + (1 - self.s.cold_from) * max(0.0, warm))
+        cold, warm = self.s.cold_from, engine.warmth(now, self.s.ramp_us)
+        return engine.cores * self.share * (cold + (1 - cold) * warm)
 
     def _fits(self, request: Request, engine: Engine, now: int) -> bool:
         """May the engine take this query under its level?"""
@@ -154,7 +151,7 @@
         if engine.threads + threads <= level:
             return True
         if engine.load < UTIL_HIGH:  # cores that a report shows idle are anyone's: shares would strand them
-            idle = CAP * engine.cores * (UTIL_HIGH - engine.load) * engine.told
+            idle = CAP * engine.cores * (UTIL_HIGH - engine.load) * self.heard
             return engine.threads < CAP * capacity + idle
         if level < self.narrow:  # a share under one thread: our shares of all engines are pooled, and a query
             return self.credit_us >= 0.0  # waits until the threads' time spent so far is paid for
@@ -209,7 +206,7 @@
         for engine in ready:
             engine.slow = (engine.spent + engine.overdue) / (engine.expected + engine.late)
         told, heard = sum(e.told for e in ready), sum(e.told * e.busy for e in ready)
-        ours = sum(e.threads for e in ready) / (CAP * self.pool)
+        self.heard, ours = min(1.0, told), sum(e.threads for e in ready) / (CAP * self.pool)
         self.busy.add(sum(e.told * e.cpu for e in ready) / told if told >= 1.0 else ours)
         # what is heard of the fleet stands in for what is not heard of one engine; pace counts as one report
         fleet = (UTIL_HIGH * exp(self.strain) / PRESSED + heard) / (1.0 + told)
@@ -219,7 +216,8 @@
         typical, first_us = max(1.0, median(e.slow for e in ready)), TRIAL_FIRST * self.tick_us
         for engine in ready:
             engine.rel = max(0.5, engine.slow / typical)  # when most are slow the load is to blame
-            engine.load = engine.told * engine.busy + (1.0 - engine.told) * fleet * engine.rel
+            guess = fleet * engine.rel * (engine.warmth(now, self.s.ramp_us) >= 1)  # or sent little
+            engine.load = engine.told * engine.busy + (1.0 - engine.told) * guess
             if engine.rel >= SUSPECT and not engine.suspect:
                 engine.suspect, engine.gap_us, engine.trial_us = True, first_us, now + first_us
                 self.actions.append(api.Log(f"suspect {engine.entry.engine} slowness {engine.rel:.1f}"))
@@ -300,10 +298,9 @@
             return False
         if not request.attempts:
             return True
-        if len(request.attempts) >= s.max_attempts or request.outs() and not s.second_copies:
-            return False
+        many = len(request.attempts) >= s.max_attempts or request.outs() and not s.second_copies
         late = kind.effect is Effect.KEYED and ran and now - ran[0].sent_us > KEYED * kind.window_us
-        if late or ran and kind.effect is Effect.UNSAFE:
+        if many or late or ran and kind.effect is Effect.UNSAFE:
             return False
         allowed = s.ration_free + s.ration_share * self.taken.total(now)
         return not s.ration_window_us or self.extra.total(now) + 1 <= allowed
@@ -318,11 +315,15 @@
             for one in (a.engine.entry for a in request.ran()):
                 if one.zone != entry.zone or kind.group is Group.CELL and one.cell != entry.cell:
                     return False
-        if not self._cold(engine, now):
+        if engine.warmth(now, s.ramp_us) >= 1:
             return True
-        budget = COLD * s.fall_multiple * s.cold_from * UTIL_HIGH * engine.cores * self.share * s.fall_us
+        budget = COLD * s.fall_multiple * s.cold_from * UTIL_HIGH * engine.cores * s.fall_us
+        if s.instances > TURNS:  # a part each would hold no query: by turns, of which a window meets TURNS
+            turn = (now - entry.boot_us) * (TURNS - 1) // s.fall_us + crc32(repr(engine.process()).encode())
+            if turn % s.instances != s.me:
+                return False
         sent = self.cold.setdefault(engine.process(), Window(s.fall_us)).total(now)
-        return sent + request.price_us <= budget
+        return sent + request.price_us <= budget / min(s.instances, TURNS)
 
     def _send(self, request: Request, engine: Engine, now: int) -> None:
         """The one place that emits a send."""
@@ -348,7 +349,7 @@
         request.state.peak = max(request.state.peak, request.state.running)
         engine.groups = [*[g for g in engine.groups if g != tables][1 - WARM_GROUPS :], tables]
         engine.loads[tables] = engine.loads.get(tables, 0) + kind.is_load
-        if self._cold(engine, now):  # kept by process, so a list that flaps does not renew the budget
+        if engine.warmth(now, s.ramp_us) < 1:  # kept by process: a list that flaps does not renew the budget
             self.cold[engine.process()].add(now, request.price_us)
         if engine.suspect:
             engine.gap_us = min(2 * engine.gap_us, TRIAL_MOST * self.tick_us)
@@ -430,12 +431,11 @@
             request = self.requests[ident]
             if request.over or attempt.called_off or request.kills >= KILLS:
                 continue
-            sick = attempt.engine.suspect  # there neither the spread nor a far aim counts
-            spread = KILL if attempt.total_us or sick else max(KILL, exp(SPREAD * request.state.spread))
+            spread = KILL if attempt.total_us else max(KILL, exp(SPREAD * request.state.spread))
             limit_us = spread * max(attempt.expected_us, 2 * self.tick_us) * (1 + request.kills)
             span_us = attempt.total_us or now - attempt.sent_us  # as projected, else so far
             more_us = 0.0 if attempt.total_us else 2 * attempt.expected_us + request.kind.aim_us / 2
-            overdue = span_us > limit_us and (sick or attempt.sent_us + span_us + more_us > request.aim_us)
+            overdue = span_us > limit_us and attempt.sent_us + span_us + more_us > request.aim_us
             lost = self.engines.get(attempt.engine.entry.engine) is not attempt.engine
             if (lost or overdue) and self.s.may_cancel and request.kind.effect is not Effect.UNSAFE:
                 attempt.called_off = True
--- a/ashcross/gateway/state.py
+++ b/ashcross/gateway/state.py
@@ -84,6 +84,12 @@
     probed_us: int = LONG_AGO
     groups: list[int] = field(default_factory=list)  # groups of tables sent there, latest last
 
+    def warmth(self, now: int, ramp_us: int) -> float:
+        """The part of a ramp that has passed since it started; 1 where it runs since long."""
+        if self.entry.boot_us <= 0 or now - self.entry.boot_us >= ramp_us:
+            return 1.0
+        return max(0.0, (now - self.entry.boot_us) / ramp_us)
+
     def process(self) -> tuple[str, int]:
         """What tells this process from an earlier one of the same name."""
         return self.entry.engine, self.entry.boot_us
--- a/tests/world.py
+++ b/tests/world.py
@@ -31,6 +31,7 @@
     classes=(LOOKUP, REPORT),
     kinds=(api.KindSettings("big", 8.0, 16_000.0), api.KindSettings("small", 4.0, 8_000.0)),
     tenants=(),
+    me=0,
     instances=1,
     zone="z1",
     step_us=5_000,
