Give groups of tables homes that all gateways share; let pace weigh as reports do

Change: queries lean to engines that a hash of group and engine names alike at all gateways, more of them for a group read more; loads do not. The pace of our queries weighs as much as all reports in the fleet's load. Idle memory is anyone's only where reports tell memory.

Guards also against hot tables. Harm: a group that turns hot at once crowds its homes until its share is learned.

--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -6,14 +6,14 @@
 import random
 from collections import deque
 from heapq import heappop, heappush
-from math import exp, inf, log
+from math import ceil, exp, inf, log
 from statistics import median
 from zlib import crc32
 
 from ashcross.gateway import interface as api
 from ashcross.gateway.interface import Effect, Group, ListKind, Mode, NoteKind, Outcome
 from ashcross.gateway.leastsq import Line, Moments, Quadratic
-from ashcross.gateway.state import LONG_AGO, Attempt, Bucket, ClassState, Engine, Request, Window
+from ashcross.gateway.state import LONG_AGO, Attempt, Bucket, ClassState, Engine, Request, Shares, Window
 
 BATCH, BATCH_PER_CLASS, BATCH_US = 30, 10, 5_000_000  # completions that close a batch, or us (design page)
 UTIL_LOW, UTIL_HIGH = 0.70, 0.85  # the band aimed at, shares of capacity
@@ -33,12 +33,12 @@
 TRIAL_FIRST, TRIAL_MOST = 10, 100  # gap before the first trial and the longest, in ticks
 KILL, SPREAD = 3.0, 3.0  # times its expected time, and mean deviations of logs, to call an attempt off
 KILLS = 2  # most attempts of one request called off: after that its cost is taken as its own
-BURST_US = 2e6  # a tenant may send this long an allowance at once, us
+BURST_S = 2.0  # a tenant may send this long an allowance at once, s
 LEARN = 0.05  # weight of one outcome in a class's running means
 TICKS = 20  # ticks in the shortest aim
 TURNS = 3  # parts of a cold engine's budget; with more gateways than that they take turns
 COLD = 0.6  # share of the fall budget used: work is priced at class means, which scatter
-WARM, WARM_GROUPS = 0.7, 4  # cost of a query whose tables are warm, and groups remembered an engine
+WARM, HOMES, SEEN = 0.8, 3.0, 500  # cost at homes of its tables; homes for their share of queries, of so many
 KEYED = 0.9  # share of a repeat window used: the clocks that count it are the engines'
 DENSE = 2.0  # worth per second of work from which a query gets the highest priority
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -67,12 +67,12 @@
         self.rest: dict[str, int] = {}
         self.cold: dict[tuple[str, int], Window] = {}  # work sent, by process
         self.taken, self.extra = (Window(settings.ration_window_us + more) for more in (0, 1))
-        rates = {t.name: t.allowance_per_s * self.share / 1e6 for t in settings.tenants}
-        self.buckets = {name: Bucket(rate, BURST_US * rate) for name, rate in rates.items()}
+        self.buckets = {t.name: Bucket(t.allowance_per_s * self.share, BURST_S) for t in settings.tenants}
         self.serial, self.ticking, self.asked_us, self.subscribed = 0, False, LONG_AGO, False
         self.level, self.low, self.high = 1.0, 1.0, 1.0  # in cores x share: now, least and most tried
         self.curve, self.line, self.busy, self.batch_us = Quadratic(), Line(), Moments(), LONG_AGO
         self.order: list[Engine] = []  # ready engines, shuffled
+        self.popular = Shares(SEEN)  # of groups of tables in the queries
         self.pool, self.pool_mb, self.memory_mb = 0.0, 0.0, 0.0  # our shares of all engines; our needs out
         self.credit_us, self.health_us = 0.0, LONG_AGO  # threads' time earned and not spent
         self.heard, self.probes, self.strain = 0.0, 0.0, 0.0  # reports' weight; earned; log of pace
@@ -118,8 +118,7 @@
             if entry.mode is Mode.GONE:
                 continue
             if engine is None or entry.boot_us != engine.entry.boot_us:  # a new process: all learned is void
-                engine = Engine(entry, kind.cores if kind else 1.0, kind.memory_mb if kind else 0.0)
-                engine.spent = engine.expected = PRIOR
+                engine = Engine(entry, kind.cores if kind else 1, kind.memory_mb if kind else 0, PRIOR, PRIOR)
             engine.entry, engine.ready = entry, entry.mode is Mode.READY
             self.engines[entry.engine] = engine
         self._health(now)
@@ -143,16 +142,16 @@
         level = self.level * capacity
         if engine.suspect:  # a bounded trial: one narrow query at a time, at growing gaps
             return not engine.threads and now >= engine.trial_us and threads == self.narrow
-        if engine.load >= UTIL_HIGH or "x0" not in self.s.report_fields:  # where told, it binds as cores do
-            room_mb = engine.size_mb * self.share  # and of all engines: one large query on each is too much
-            for held_mb, most_mb in ((engine.memory_mb, room_mb), (self.memory_mb, self.pool_mb)):
-                if held_mb and held_mb + request.need_mb > UTIL_HIGH * most_mb > 0:
-                    return False
+        # what reports show idle is anyone's, memory too if they tell of it: shares alone would strand it
+        idle, room_mb = max(0.0, UTIL_HIGH - engine.load) * self.heard, engine.size_mb * self.share
+        part = UTIL_HIGH + idle / self.share * ("x0" in self.s.report_fields)
+        for held_mb, most_mb in ((engine.memory_mb, room_mb), (self.memory_mb, self.pool_mb)):
+            if held_mb and held_mb + request.need_mb > part * most_mb > 0:
+                return False  # of all engines together too: one large query on each would be too much
         if engine.threads + threads <= level:
             return True
-        if engine.load < UTIL_HIGH:  # cores that a report shows idle are anyone's: shares would strand them
-            idle = CAP * engine.cores * (UTIL_HIGH - engine.load) * self.heard
-            return engine.threads < CAP * capacity + idle
+        if engine.load < UTIL_HIGH:
+            return engine.threads < CAP * (capacity + idle * engine.cores)
         if level < self.narrow:  # a share under one thread: our shares of all engines are pooled, and a query
             return self.credit_us >= 0.0  # waits until the threads' time spent so far is paid for
         # wider than the level: it starts after a rest of our threads that pays for the excess
@@ -164,19 +163,22 @@
         best, best_cost, tables = None, inf, request.event.tables
         if not self._may_try(request, now) or not self.order:
             return None
+        homes = [e for e in self.order if not request.kind.kinds or e.entry.kind in request.kind.kinds]
+        homes.sort(key=lambda engine: hash((engine.salt, tables)))  # alike at all gateways: stays warm
+        homes = homes[: ceil(HOMES * len(homes) * self.popular.share(tables)) * (not request.kind.is_load)]
         start, left = self.random.randrange(len(self.order)), max(LOOK, LOOK * len(self.order) * self.share)
-        for engine in self.order[start:] + self.order[:start]:
+        first = self.random.sample(homes, min(LOOK // 2, len(homes)))
+        for engine in (*first, *self.order[start:], *self.order[:start]):
             if left <= 0 or not self._may_send(request, engine, now) or not self._fits(request, engine, now):
                 continue
             left -= 1
             own = (engine.threads + request.kind.threads) * self.share / self._capacity(engine, now)
-            cost = (engine.load + own) * engine.rel * (WARM if tables in engine.groups else 1.0)
+            cost = (engine.load + own) * engine.rel * (WARM if engine in homes else 1.0)
             stuck = engine.loads.get(tables, 0) * (request.kind.is_load or request.kind.waits_for_loads)
             cost += CAP * (stuck + (engine is request.avoid))  # behind our own loads, or where it failed
             cost *= 1.0 + self.s.cross_zone_price * (engine.entry.zone != self.s.zone)
-            cost *= not engine.suspect  # trials that are due go first
-            if cost < best_cost:
-                best, best_cost = engine, cost
+            if cost * (not engine.suspect) < best_cost:  # trials that are due go first
+                best, best_cost = engine, cost * (not engine.suspect)
         return best
 
     def _evidence(self, engine: Engine, ratio: float) -> None:
@@ -208,8 +210,8 @@
         told, heard = sum(e.told for e in ready), sum(e.told * e.busy for e in ready)
         self.heard, ours = min(1.0, told), sum(e.threads for e in ready) / (CAP * self.pool)
         self.busy.add(sum(e.told * e.cpu for e in ready) / told if told >= 1.0 else ours)
-        # what is heard of the fleet stands in for what is not heard of one engine; pace counts as one report
-        fleet = (UTIL_HIGH * exp(self.strain) / PRESSED + heard) / (1.0 + told)
+        # what the fleet tells stands in for engines not heard; pace weighs as much: not all that jams is told
+        fleet = (UTIL_HIGH * exp(self.strain) / PRESSED * (1.0 + told) + heard) / (1.0 + 2 * told)
         earned = self.level * self.pool  # what was sent without pressure owes nothing
         owed_us = self.credit_us if fleet >= UTIL_HIGH else max(0.0, self.credit_us)
         self.credit_us = min(earned * self.fresh_us, owed_us + earned * span_us)
@@ -233,6 +235,7 @@
         kind, state = self.s.classes[event.class_index], self.classes[event.class_index]
         request = self.requests[event.request] = Request(event, kind, state, now + event.left_us)
         self.taken.add(now, 1.0)
+        self.popular.count(event.tables)
         self.probes = min(len(self.order), self.probes + PROBES)
         if event.hint_us:
             state.seen += 1
@@ -278,8 +281,7 @@
             kept.append(item)
             if not request.attempts and self._in_turn(request, now):
                 blocked |= bit  # the next of its class would find no engine either: bounds a storm's CPU
-        for item in kept:
-            heappush(self.queue, item)
+        self.queue = sorted(kept + self.queue)
 
     def _in_turn(self, request: Request, now: int) -> bool:
         """Rule 5: first of its key, and the key at rest."""
@@ -347,7 +349,6 @@
         self.credit_us -= attempt.expected_us * kind.threads
         request.state.running += 1
         request.state.peak = max(request.state.peak, request.state.running)
-        engine.groups = [*[g for g in engine.groups if g != tables][1 - WARM_GROUPS :], tables]
         engine.loads[tables] = engine.loads.get(tables, 0) + kind.is_load
         if engine.warmth(now, s.ramp_us) < 1:  # kept by process: a list that flaps does not renew the budget
             self.cold[engine.process()].add(now, request.price_us)
@@ -362,10 +363,9 @@
         request, engine = self.requests[event.request], attempt.engine
         kind, state, tables = request.kind, request.state, request.event.tables
         attempt.out, attempt.may_have_run = False, event.outcome not in NEVER_RAN
-        engine.threads -= kind.threads
+        engine.threads, engine.idle_us = engine.threads - kind.threads, now
         state.running -= 1
         engine.memory_mb = engine.memory_mb - attempt.memory_mb if engine.threads else 0.0
-        engine.idle_us = now
         self.memory_mb = self.memory_mb - attempt.memory_mb if self.out else 0.0
         self.credit_us += (attempt.expected_us - event.latency_us) * kind.threads
         engine.loads[tables] -= kind.is_load
--- a/ashcross/gateway/state.py
+++ b/ashcross/gateway/state.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from math import inf
+from zlib import crc32
 
 from ashcross.gateway import interface as api
 from ashcross.gateway.leastsq import Moments
@@ -36,18 +37,40 @@
         return self._sum
 
 
+class Shares:
+    """Shares of what is counted, over about as many counts as told; older ones weigh less."""
+
+    __slots__ = ("_counts", "_most", "_sum")
+
+    def __init__(self, most: int) -> None:
+        self._most, self._sum = most, 0.0
+        self._counts: dict[int, float] = {}
+
+    def count(self, what: int) -> None:
+        """Count one; halve all counts, and forget the least, when there are too many."""
+        self._counts[what] = self._counts.get(what, 0.0) + 1.0
+        self._sum += 1.0
+        if self._sum >= self._most:
+            self._counts = {key: n / 2 for key, n in self._counts.items() if n > 1.0}
+            self._sum = sum(self._counts.values())
+
+    def share(self, what: int) -> float:
+        """The part of all counts; 1 while nothing is known."""
+        return self._counts.get(what, 0.0) / self._sum if self._sum else 1.0
+
+
 @dataclass(eq=False, slots=True)
 class Bucket:
-    """Tokens that come in at a rate, up to a most."""
+    """Tokens that come in at a rate, up to what a span brings."""
 
-    rate: float  # a us
-    most: float
+    rate: float  # a second
+    span_s: float
     tokens: float = inf
     at_us: int = 0
 
     def take(self, now: int) -> bool:
         """Take one token if there is one."""
-        self.tokens = min(self.most, self.tokens + (now - self.at_us) * self.rate)
+        self.tokens = min(self.rate * self.span_s, self.tokens + (now - self.at_us) * self.rate / 1e6)
         self.at_us = now
         if self.tokens < 1.0:
             return False
@@ -62,14 +85,14 @@
     entry: api.EngineEntry
     cores: float
     size_mb: float
+    spent: float  # evidence: times of attempts over what was expected, summed and fading
+    expected: float  # the count of the same
     ready: bool = False
     threads: int = 0
     memory_mb: float = 0.0  # needs of our attempts out
     out: dict[tuple[str, int], Attempt] = field(default_factory=dict)
     idle_us: int = LONG_AGO  # when an attempt of ours last ended
     loads: dict[int, int] = field(default_factory=dict)  # our running loads by group of tables
-    spent: float = 0.0  # evidence: times of attempts over what was expected, summed and fading
-    expected: float = 0.0  # the count of the same
     overdue: float = 0.0  # the same of attempts out past what was expected, and their count
     late: int = 0
     slow: float = 1.0  # spent over expected
@@ -82,7 +105,11 @@
     told: float = 0.0  # weight of that report by its age
     load: float = 0.0  # share of it in use, from its report and what is known of the others
     probed_us: int = LONG_AGO
-    groups: list[int] = field(default_factory=list)  # groups of tables sent there, latest last
+    salt: int = 0  # a hash of its name that is the same in every process
+
+    def __post_init__(self) -> None:
+        """Hash the name."""
+        self.salt = crc32(self.entry.engine.encode())
 
     def warmth(self, now: int, ramp_us: int) -> float:
         """The part of a ramp that has passed since it started; 1 where it runs since long."""
