--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -33,7 +33,7 @@
 TRIAL_FIRST, TRIAL_MOST = 10, 100  # gap before the first trial and the longest, in ticks
 KILL, SPREAD = 3.0, 3.0  # times its expected time, and mean deviations of logs, to call an attempt off
 KILLS = 2  # most attempts of one request called off: after that its cost is taken as its own
-BURST_S = 2.0  # a tenant may send this long an allowance at once, s
+BURST_S = 2.0  # a tenant may send this long an allowance at once, s; times the root of the gateways' number
 LEARN = 0.05  # weight of one outcome in a class's running means
 TICKS = 20  # ticks in the shortest aim
 TURNS = 3  # parts of a cold engine's budget; with more gateways than that they take turns
@@ -67,7 +67,8 @@
         self.rest: dict[str, int] = {}
         self.cold: dict[tuple[str, int], Window] = {}  # work sent, by process
         self.taken, self.extra = (Window(settings.ration_window_us + more) for more in (0, 1))
-        self.buckets = {t.name: Bucket(t.allowance_per_s * self.share, BURST_S) for t in settings.tenants}
+        burst_s = BURST_S / self.share**0.5  # chance weighs more in a smaller part of a tenant's queries
+        self.buckets = {t.name: Bucket(t.allowance_per_s * self.share, burst_s) for t in settings.tenants}
         self.serial, self.ticking, self.asked_us, self.subscribed = 0, False, LONG_AGO, False
         self.level, self.low, self.high = 1.0, 1.0, 1.0  # in cores x share: now, least and most tried
         self.curve, self.line, self.busy, self.batch_us = Quadratic(), Line(), Moments(), LONG_AGO
@@ -403,10 +404,8 @@
         if s.subscribe and not self.subscribed and now - self.asked_us >= s.ask_within_us / 4:
             self.asked_us = now  # asking at this pace keeps rule 3's clock from running out
             self.actions.append(api.Subscribe(True))
-        late = now + 2 * (self.tick_us + s.step_us)
-        while self.ends and (self.ends[0][2].over or self.ends[0][0] <= late):
-            request = heappop(self.ends)[2]
-            self._end(request, now)
+        while self.ends and (self.ends[0][2].over or self.ends[0][0] <= now + 2 * (self.tick_us + s.step_us)):
+            self._end(heappop(self.ends)[2], now)
         self._call_off(now)
         for *_, request in self.queue:
             if request.queued and now >= request.hold_us:
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -317,3 +317,12 @@
         assert sends(world.accept())
     assert len(seen) <= 20 * 10  # and not 20 x 200
     assert len({s.engine for s in sends(world.actions)}) > 15  # nor all to the same few
+
+
+def test_a_tenants_burst_allows_for_chance_where_there_are_many_gateways() -> None:
+    tenants = (api.TenantSettings("a", 100.0),)  # one query a second for each of a hundred gateways
+    world = World(settings(LOOKUP, tenants=tenants, instances=100), engines=2)
+    for _ in range(30):
+        world.accept(tenant="a")
+    within = [r.within for r in world.gateway.requests.values()]
+    assert within == [True] * 20 + [False] * 10  # not two: so many come in two seconds by chance
