--- a/ashcross/cli.py
+++ b/ashcross/cli.py
@@ -1,8 +1,13 @@
-"""The command line: serve, check-config, ask, version."""
+"""The command line: serve, check-config, ask, ping, version.
+
+Exit codes: 0 done or served, 1 cannot serve, 2 bad arguments or configuration; `ask` and `ping` further
+3 refused or ill, 4 failed, 5 no answer.
+"""
 
 from __future__ import annotations
 
 import argparse
+import secrets
 import sys
 from collections.abc import Sequence
 
@@ -25,6 +30,21 @@
             metavar="FILE",
             help=f"the configuration; else the file that {configuration.PATH_VARIABLE} names",
         )
+    question = commands.add_parser("ask", help="send one query to a dispatcher and print its rows")
+    question.add_argument("klass", metavar="CLASS", help="the class, as the settings name it")
+    question.add_argument("statement", metavar="STATEMENT", help="the query; - reads it from standard input")
+    question.add_argument(
+        "--limit-ms", type=float, default=5000.0, help="how long to wait (default %(default)g)"
+    )
+    question.add_argument("--team", help="the tenant")
+    question.add_argument("--cpu-ms", type=float, default=50.0, help="estimate of the work on one core")
+    question.add_argument("--memory-mb", type=float, default=16.0, help="estimate of the memory needed")
+    question.add_argument("--unique", help="idempotency key; default in keyed classes: a new one")
+    ping = commands.add_parser("ping", help="ask a dispatcher whether it is well")
+    for command in (question, ping):
+        command.add_argument(
+            "--at", metavar="HOST:PORT", default="127.0.0.1:8080", help="default %(default)s"
+        )
     commands.add_parser("version", help="print the version")
     return top
 
@@ -35,6 +55,8 @@
     if asked.command == "version":
         print(f"ashcross {__version__}")
         return 0
+    if asked.command in ("ask", "ping"):
+        return _ask(asked)
     try:
         config = configuration.from_process(asked.config)
     except ConfigError as error:
@@ -50,3 +72,46 @@
 
     logs.start(config.transport.log_level)
     return service.run(config)
+
+
+def _ask(asked: argparse.Namespace) -> int:
+    """Send one call, print what comes back, and turn it into an exit code."""
+    from ashcross.wire import asking, jsonrpc
+    from ashcross.wire.roster import RosterError, address
+
+    try:
+        where = address(asked.at)
+    except RosterError as error:
+        print(f"ashcross: --at: {error}", file=sys.stderr)
+        return 2
+    is_ping = asked.command == "ping"
+    if is_ping:
+        call, wait_s = jsonrpc.call("ping", 1, {}), 5.0
+    else:
+        statement = sys.stdin.read() if asked.statement == "-" else asked.statement
+        params = {
+            "txn": secrets.token_hex(8),
+            "limit": asked.limit_ms,
+            "cpu": asked.cpu_ms,
+            "memory": asked.memory_mb,
+            "unique": asked.unique or secrets.token_hex(16),
+            "team": asked.team,
+        }
+        call = jsonrpc.query(asked.klass, 1, statement.encode(), params)
+        wait_s = asked.limit_ms / 1000 + 1.0
+    try:
+        answer = asking.ask(where, call, wait_s)
+    except asking.NoAnswer as error:
+        print(f"ashcross: no answer from {asked.at}: {error}", file=sys.stderr)
+        return 5
+    if answer.result is None:
+        later = f"; come back in {answer.later_ms} ms" if answer.later_ms else ""
+        print(f"ashcross: {answer.message} ({answer.code}){later}", file=sys.stderr)
+        return 3 if answer.code == jsonrpc.REFUSED else 4
+    if is_ping:
+        well = answer.result.get("well") is True
+        print("well" if well else "ill")
+        return 0 if well else 3
+    sys.stdout.buffer.write(asking.rows(answer))
+    sys.stdout.flush()
+    return 0
--- a/ashcross/lifecycle/config.py
+++ b/ashcross/lifecycle/config.py
@@ -100,9 +100,9 @@
     )
 
 
-def _address(conf: Section, key: str) -> tuple[str, int]:
+def _address(conf: Section, key: str, least: int = 1) -> tuple[str, int]:
     try:
-        return address(conf.get(key))
+        return address(conf.get(key), least=least)
     except RosterError as error:
         raise ConfigError(f"{conf.name(key)}: {error}") from None
 
@@ -110,9 +110,9 @@
 def _listen(conf: Section, environ: Mapping[str, str]) -> tuple[str, int]:
     told = environ.get(LISTEN_VARIABLE)
     if not told:
-        return _address(conf, "listen")
+        return _address(conf, "listen", least=0)  # 0: any free port
     try:
-        return address(told)
+        return address(told, least=0)
     except RosterError as error:
         raise ConfigError(f"{LISTEN_VARIABLE}: {error}") from None
 
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -112,7 +112,10 @@
         )
         self.phases.enter(Phase.SERVING)
         logger.info(
-            "{} listens on {}:{}, {} engines known", self.config.name, host, self._port.getHost().port,
+            "{} listens on {}:{}, {} engines known",
+            self.config.name,
+            host,
+            self._port.getHost().port,
             len(self.fleet.engines),
         )
 
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -121,9 +121,7 @@
     ) -> RequestRecord:
         """Take a query in."""
         deadline_us = arrived_us + int(query.limit_ms * 1000)
-        request = RequestRecord(
-            query.txn, client, ident, sort, query.statement, query.unique, deadline_us
-        )
+        request = RequestRecord(query.txn, client, ident, sort, query.statement, query.unique, deadline_us)
         self.book.add(request)
         self.book.deadlines.add(deadline_us + self.limits.answer_slack_us, self._overdue, request)
         self.counts["taken"] += 1
@@ -249,16 +247,16 @@
                 self._send(now, action)
             case api.SetTimer(at_us, token):
                 self.book.deadlines.add(at_us, self._timer, token)
-            case api.Terms(txn, _, priority) if (request := self.book.requests.get(txn)):
+            case api.Terms(txn, _, priority) if request := self.book.requests.get(txn):
                 self._rank(request, priority)
-            case api.Cancel(txn, number) if (request := self.book.requests.get(txn)):
+            case api.Cancel(txn, number) if request := self.book.requests.get(txn):
                 if number < len(request.attempts):
                     attempt = request.attempts[number]
                     self.settle(attempt, self._called_off(attempt, Outcome.CANCELLED))
-            case api.Refuse(txn, back_us) if (request := self.book.requests.get(txn)):
+            case api.Refuse(txn, back_us) if request := self.book.requests.get(txn):
                 if not request.over:
                     self._answer(request, jsonrpc.refusal(request.ident, -(-back_us // 1000)), "refused")
-            case api.Fail(txn) if (request := self.book.requests.get(txn)):
+            case api.Fail(txn) if request := self.book.requests.get(txn):
                 if not request.over:
                     self._answer(request, jsonrpc.failure(request.ident), "failed")
             case api.Probe(name):
--- a/ashcross/wire/jsonrpc.py
+++ b/ashcross/wire/jsonrpc.py
@@ -181,3 +181,39 @@
 def failure(ident: int) -> bytes:
     """The query failed; nothing is promised of its effect."""
     return error(ident, FAILED, "failed; the effect is not known")
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer as a client reads it: a result, or an error's code."""
+
+    ident: int | None
+    result: dict[str, Any] | None
+    code: int
+    message: str
+    later_ms: int
+
+
+def parse_answer(body: bytes) -> Answer:
+    """Read an answer; `ValueError` if it is none."""
+    content = json.loads(body)
+    if not isinstance(content, dict):
+        raise ValueError("not an object")
+    result, problem = content.get("result"), content.get("error")
+    if isinstance(result, dict):
+        return Answer(content.get("id"), result, 0, "", 0)
+    if not isinstance(problem, dict) or not isinstance(problem.get("code"), int):
+        raise ValueError("neither a result nor an error")
+    later = (problem.get("data") or {}).get("later", 0)
+    return Answer(content.get("id"), None, problem["code"], str(problem.get("message", "")), int(later))
+
+
+def call(method: str, ident: int | None, params: dict[str, Any]) -> bytes:
+    """A call as a client writes it."""
+    content: dict[str, Any] = {"jsonrpc": "2.0", "method": method, "params": params}
+    return _message(content if ident is None else content | {"id": ident})
+
+
+def query(method: str, ident: int, statement: bytes, params: dict[str, Any]) -> bytes:
+    """A query as a client writes it."""
+    return call(method, ident, {**params, "body": base64.b64encode(statement).decode()})
--- a/ashcross/wire/roster.py
+++ b/ashcross/wire/roster.py
@@ -76,10 +76,10 @@
     return Entry(told, host, port)
 
 
-def address(value: Any, may_miss: bool = False) -> tuple[str, int]:
+def address(value: Any, may_miss: bool = False, least: int = 1) -> tuple[str, int]:
     """`host:port` in its parts."""
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if host and port.isdigit() and 0 < int(port) < 65536:
+    if host and port.isdigit() and least <= int(port) < 65536:
         return host, int(port)
     if may_miss:
         return "", 0
--- a/ashcross/wire/statement.py
+++ b/ashcross/wire/statement.py
@@ -66,8 +66,11 @@
         sort, value = tokens[at]
         if sort in ("word", "quoted"):
             name, after = [value], at + 1
-            while after + 1 < len(tokens) and tokens[after] == ("sign", ".") and tokens[after + 1][0] in (
-                "word", "quoted"):
+            while (
+                after + 1 < len(tokens)
+                and tokens[after] == ("sign", ".")
+                and tokens[after + 1][0] in ("word", "quoted")
+            ):
                 name.append(tokens[after + 1][1])
                 after += 2
             if len(name) > 1:
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,152 @@
+"""Configuration: defaults, and a message that names the faulty key for whatever is wrong."""
+
+from __future__ import annotations
+
+import copy
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ashcross.drill import wire
+from ashcross.lifecycle import config as configuration
+from ashcross.lifecycle.checks import ConfigError
+from ashcross.wire.roster import RosterError, parse_event
+
+EXAMPLE: dict[str, Any] = json.loads(
+    (Path(__file__).parent.parent / "examples" / "config.json").read_text(encoding="utf-8")
+)
+
+
+def changed(path: str, value: Any) -> dict[str, Any]:
+    content = copy.deepcopy(EXAMPLE)
+    *parents, last = path.split(".")
+    place: Any = content
+    for key in parents:
+        place = place[int(key)] if key.isdigit() else place[key]
+    if value is None:
+        place.pop(last, None)
+    else:
+        place[int(last) if last.isdigit() else last] = value
+    return content
+
+
+def test_the_example_is_read_whole() -> None:
+    config = configuration.check(EXAMPLE)
+    assert config.listen == ("127.0.0.1", 8080) and config.bulletin == ("127.0.0.1", 8500)
+    assert config.seed == 0x0F1E2D3C4B5A6978 and config.known_no == 1 and config.sockets == 1024
+    assert [entry.told.engine for entry in config.known[0].entries] == ["e1", "e2", "e3"]
+    assert config.host.class_names == {"lookup": 0, "report": 1, "load": 2}
+    assert config.host.longest_give_up_us == 15_000_000 and config.host.idle_us == 15_000_000
+    assert config.transport == configuration.Transport()
+
+
+def test_the_adapter_and_the_dispatcher_read_settings_alike() -> None:
+    decoded, names = wire.settings(json.dumps(EXAMPLE["settings"]))
+    config = configuration.check(EXAMPLE)
+    assert (decoded, names) == (config.settings, config.host.class_names)
+
+
+def test_the_environment_names_listen_address_and_name() -> None:
+    config = configuration.check(EXAMPLE, {"ROUTER_NAME": "n3", "ROUTER_LISTEN": "127.0.0.2:8081"})
+    assert (config.name, config.listen) == ("n3", ("127.0.0.2", 8081))
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "key"),
+    [
+        ("listen", None, "listen"),
+        ("listen", "nowhere", "listen"),
+        ("listen", "127.0.0.1:99999", "listen"),
+        ("seed", None, "seed"),
+        ("seed", "xyz", "seed"),
+        ("limits", 5, "limits"),
+        ("limits.sockets", "many", "limits.sockets"),
+        ("limits.sockets", 2, "limits.sockets"),
+        ("bulletin", "127.0.0.1", "bulletin"),
+        ("known.items.0.roster.endpoints.0.status", "Odd", "known.items[0]"),
+        ("known.items.0.roster.endpoints.0.address", None, "known.items[0]"),
+        ("known.no", -1, "known.no"),
+        ("settings", None, "settings"),
+        ("settings.Classes", [], "settings.Classes"),
+        ("settings.Classes.0.Aim", None, "settings.Classes[0].Aim"),
+        ("settings.Classes.0.Aim", "soon", "settings.Classes[0].Aim"),
+        ("settings.Classes.1.Idempotency", "maybe", "settings.Classes[1].Idempotency"),
+        ("settings.Classes.1.Name", "lookup", "settings.Classes"),
+        ("settings.Classes.1.Name", None, "settings.Classes[1].Name"),
+        ("settings.Limits.MaxAttempts", 1.5, "settings.Limits.MaxAttempts"),
+        ("settings.Limits.MayCancel", "yes", "settings.Limits.MayCancel"),
+        ("settings.Tenants.0.AllowancePerS", True, "settings.Tenants[0].AllowancePerS"),
+        ("settings.Report.Fields", [1], "settings.Report.Fields"),
+        ("settings.FamilyInfo.ClassThreads", ["a"], "settings.FamilyInfo.ClassThreads"),
+        ("transport", {"odd": 1}, "transport.odd"),
+        ("transport", {"buffer_bytes": 0}, "transport.buffer_bytes"),
+        ("transport", {"log_level": "LOUD"}, "transport.log_level"),
+        ("transport", {"clients_share": 0.9}, "transport.links_share"),
+    ],
+)
+def test_a_faulty_key_is_named(path: str, value: Any, key: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        configuration.check(changed(path, value))
+    assert str(caught.value).startswith(f"{key}: ") and "\n" not in str(caught.value)
+
+
+def test_files_that_cannot_be_read(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match="ROUTER_CONFIG"):
+        configuration.load(None, {})
+    with pytest.raises(ConfigError, match="cannot be read"):
+        configuration.load(str(tmp_path / "none"), {})
+    broken = tmp_path / "broken"
+    broken.write_text("{", encoding="utf-8")
+    with pytest.raises(ConfigError, match="wanted JSON"):
+        configuration.load(None, {"ROUTER_CONFIG": str(broken)})
+
+
+EVENT: dict[str, Any] = {
+    "no": 41,
+    "roster": {
+        "index": 7,
+        "snapshot": False,
+        "endpoints": [
+            {"name": "s-1", "address": "10.1.0.9:8080", "zone": "east", "type": "std", "group": 2,
+             "status": "Terminating", "weight": 4, "since_ms": 1500}
+        ],
+    },
+}  # fmt: skip
+
+
+def test_an_event_of_the_bulletin() -> None:
+    roster = parse_event(json.dumps(EVENT))
+    (entry,) = roster.entries
+    assert (roster.number, roster.version, roster.whole) == (41, 7, False)
+    assert (entry.host, entry.port) == ("10.1.0.9", 8080)
+    told = entry.told
+    assert (told.engine, told.zone, told.kind, told.cell, told.nominal) == ("s-1", "east", "std", 2, 4.0)
+    assert told.boot_us == 1_500_000 and told.mode.name == "DRAINING"
+
+
+def test_what_has_gone_needs_no_address() -> None:
+    event = copy.deepcopy(EVENT)
+    event["roster"]["endpoints"][0] = {"name": "s-1", "status": "Gone"}
+    assert parse_event(json.dumps(event)).entries[0].told.mode.name == "GONE"
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "[]",
+        "5",
+        "{}",
+        '{"no":1}',
+        '{"no":"1","roster":{"endpoints":[]}}',
+        '{"no":1,"roster":{"endpoints":5}}',
+        '{"no":1,"roster":{"endpoints":[5]}}',
+        '{"no":1,"roster":{"endpoints":[{"status":"Ready"}]}}',
+        "[" * 100_000,
+    ],
+)
+def test_bad_events_are_told_as_such(text: str) -> None:
+    with pytest.raises(RosterError):
+        parse_event(text)
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,690 @@
+"""The Twisted protocols over transports in memory: clients, engines, the bulletin."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from ashcross.gateway import interface as api
+from ashcross.gateway.interface import Outcome
+from ashcross.lifecycle.phases import Phase, Phases
+from ashcross.memory.book import Stage
+from ashcross.memory.buffers import BufferPool
+from ashcross.memory.fleet import Roster
+from ashcross.wire import jsonrpc, resp
+from ashcross.wire.bulletin import BulletinLimits, Follower
+from ashcross.wire.clients import ClientLimits, ClientLink, Clients
+from ashcross.wire.engines import EngineLimits, EngineLink, Engines
+from tests.test_loop import TXN, World
+from tests.test_memory import entry, roster
+
+GONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
+REFUSED = Failure(ConnectionRefusedError())  # type: ignore[no-untyped-call]
+
+
+class Wire(StringTransport):
+    """A transport in memory that knows about abort and producers."""
+
+    def __init__(self) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.aborted = False
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+    def unregisterProducer(self) -> None:
+        self.producer = None
+
+    def taken(self) -> bytes:
+        value = bytes(self.value())  # type: ignore[no-untyped-call]
+        self.clear()  # type: ignore[no-untyped-call]
+        return value
+
+
+# ----------------------------------------------------------------- clients
+
+
+class ClientWorld(World):
+    def __init__(self, **limits: Any) -> None:
+        super().__init__()
+        bounds = {
+            "connections": 3,
+            "open_per_connection": 4,
+            "body_bytes": 2000,
+            "unsent_bytes": 500,
+        } | limits
+        self.phases = Phases()
+        self.phases.enter(Phase.SERVING)
+        self.clients = Clients(
+            self.loop, self.phases, {"lookup": 0}, BufferPool(64, 8), ClientLimits(**bounds)
+        )
+
+    def connect(self) -> tuple[ClientLink, Wire]:
+        link, wire = self.clients.buildProtocol(None), Wire()
+        assert link is not None
+        link.makeConnection(wire)  # type: ignore[no-untyped-call]
+        return link, wire
+
+
+def question(ident: int = 7, txn: str = TXN, method: str = "lookup", **more: Any) -> bytes:
+    return jsonrpc.query(method, ident, b"select * from sales_17.orders", {"txn": txn, "limit": 1000} | more)
+
+
+def answers(wire: Wire) -> list[jsonrpc.Answer]:
+    return [
+        jsonrpc.parse_answer(body)
+        for body in jsonrpc.BodyReader(BufferPool(64, 8), 99_999).feed(wire.taken())
+    ]
+
+
+def test_queries_in_pieces_and_many_in_one_read() -> None:
+    world = ClientWorld()
+    link, _ = world.connect()
+    stream = question(1, "a" * 16) + question(2, "b" * 16) + question(3, "c" * 16)
+    link.dataReceived(stream[:100])
+    link.dataReceived(stream[100:])
+    world.run()
+    assert [event.tables for event in world.module.of(api.Accept)] == [17, 17, 17]
+    assert sorted(link.open) == [1, 2, 3]
+
+
+def test_a_ping_tells_the_phase() -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(jsonrpc.call("ping", 1, {}))
+    world.phases.enter(Phase.DRAINING)
+    link.dataReceived(jsonrpc.call("ping", 2, {}))
+    assert [answer.result for answer in answers(wire)] == [{"well": True}, {"well": False}]
+
+
+@pytest.mark.parametrize("params", [{"id": 7}, {"txn": TXN}])
+@pytest.mark.parametrize("ident", [None, 99])
+def test_an_abort_ends_what_is_owed(params: dict[str, Any], ident: int | None) -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(question())
+    world.run()
+    link.dataReceived(jsonrpc.call("abort", ident, params) * 2)
+    world.run()
+    assert [event.request for event in world.module.of(api.ClientGone)] == [TXN]
+    assert not link.open and not wire.taken() and not wire.aborted
+
+
+def test_an_abort_under_the_requests_own_id() -> None:
+    world = ClientWorld()
+    link, _ = world.connect()
+    link.dataReceived(question() + jsonrpc.call("abort", 7, {}))
+    world.run()
+    assert len(world.module.of(api.ClientGone)) == 1
+
+
+def test_a_lost_connection_takes_its_requests_with_it() -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(question(1, "a" * 16) + question(2, "b" * 16))
+    world.run()
+    link.connectionLost(GONE)
+    world.run()
+    assert len(world.module.of(api.ClientGone)) == 2 and not world.clients.links
+    link.reply(1, b"late")
+    assert not wire.taken()
+
+
+def test_bad_calls_that_can_be_named_get_their_error_and_others_go_on() -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(
+        question(1, method="dance") + question(2, txn="zz") + jsonrpc.call("lookup", 3, {}) + question(4)
+    )
+    world.run()
+    assert [(a.ident, a.code) for a in answers(wire)] == [
+        (1, jsonrpc.UNKNOWN_METHOD),
+        (2, jsonrpc.INVALID_PARAMS),
+        (3, jsonrpc.INVALID_PARAMS),
+    ]
+    assert len(world.module.of(api.Accept)) == 1 and not wire.aborted
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"Content-Length: 9999\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        jsonrpc.frame(b"{"),
+        jsonrpc.frame(b"[]"),
+        jsonrpc.call("lookup", None, {}),
+        question(1, "b" * 16),  # the id is open: an error under it would be a second answer
+    ],
+)
+def test_what_cannot_be_named_ends_that_connection_alone(bad: bytes) -> None:
+    world = ClientWorld()
+    other, other_wire = world.connect()
+    link, wire = world.connect()
+    link.dataReceived(question(1))
+    link.dataReceived(bad)
+    assert wire.aborted and not wire.taken()
+    other.dataReceived(jsonrpc.call("ping", 1, {}))
+    assert len(answers(other_wire)) == 1
+
+
+def test_a_transaction_that_is_open_already_is_an_error() -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(question(1) + question(2))
+    assert [(a.ident, a.code) for a in answers(wire)] == [(2, jsonrpc.INVALID_PARAMS)]
+
+
+def test_what_is_over_the_bounds_is_refused_before_the_module() -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    for number in range(6):
+        link.dataReceived(question(number + 1, f"{number:016x}"))
+    world.run()
+    assert [(a.ident, a.code) for a in answers(wire)] == [(5, -32050), (6, -32050)]
+    assert len(world.module.of(api.Accept)) == 4
+    world.book.most = 4
+    other, other_wire = world.connect()
+    other.dataReceived(question(1, "f" * 16))
+    assert answers(other_wire)[0].code == -32050
+
+
+def test_connections_are_bounded_and_idle_ones_make_room() -> None:
+    world = ClientWorld()
+    links = [world.connect() for _ in range(3)]
+    links[0][0].dataReceived(question(1, "a" * 16))
+    world.now_us += 5
+    links[1][0].dataReceived(jsonrpc.call("ping", 1, {}))
+    world.run()
+    world.connect()
+    assert [wire.aborted for _, wire in links] == [False, False, True]
+    links[2][0].connectionLost(GONE)
+    for number, link in enumerate(list(world.clients.links)):
+        link.dataReceived(question(5, f"{number:016x}"))
+    assert world.clients.buildProtocol(None) is None  # all are in use by requests
+
+
+def test_a_client_that_does_not_read_is_read_no_more_and_bounded() -> None:
+    world = ClientWorld()
+    slow, slow_wire = world.connect()
+    other, other_wire = world.connect()
+    slow.pauseProducing()
+    assert slow_wire.producerState == "paused"
+    slow.reply(1, b"x" * 300)
+    assert world.clients.unsent == 300 and not world.clients.written_out()
+    slow.resumeProducing()
+    assert slow_wire.producerState == "producing" and world.clients.written_out()
+    slow.pauseProducing()
+    other.pauseProducing()
+    other.reply(1, b"x" * 200)
+    slow.reply(1, b"x" * 301)
+    assert slow_wire.aborted and not other_wire.aborted
+    slow.connectionLost(GONE)
+    assert world.clients.unsent == 200
+
+
+def test_a_fault_in_one_call_costs_that_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    monkeypatch.setattr(world.loop, "accept", lambda *args: 1 / 0)
+    link.dataReceived(question())
+    assert wire.aborted
+    _, other_wire = world.connect()
+    assert not other_wire.aborted
+
+
+# ----------------------------------------------------------------- engines
+
+
+class EngineWorld(World):
+    def __init__(self, **limits: Any) -> None:
+        super().__init__()
+        self.reactor: Any = MemoryReactorClock()  # type: ignore[no-untyped-call]
+        bounds = {
+            "dial_timeout_us": 250_000, "idle_us": 10_000_000, "multiplex": 2, "links_per_engine": 3,
+            "links_most": 4, "pages_most": 9, "answer_bytes": 50, "bulk_bytes": 100,
+        } | limits  # fmt: skip
+        self.real = Engines(self.reactor, self.loop, BufferPool(64, 8), EngineLimits(**bounds))
+        self.loop.engines = self.real
+        self.wires: dict[EngineLink, Wire] = {}
+
+    def links(self, name: str = "e1") -> list[EngineLink]:
+        return list(self.fleet.engines[name].links)
+
+    def come_up(self, link: EngineLink) -> Wire:
+        wire = self.wires[link] = Wire()
+        link.makeConnection(wire)  # type: ignore[no-untyped-call]
+        return wire
+
+    def started(self, *engines: str) -> tuple[EngineLink, Wire]:
+        """One attempt of one request that has been written."""
+        self.sends(*(engines or ("e1", "e1")))
+        self.accept()
+        self.run()
+        (link,) = self.links()
+        return link, self.come_up(link)
+
+    def say(self, link: EngineLink, *words: bytes) -> None:
+        link.dataReceived(resp.encode(*words))
+        self.run()
+
+
+def words(wire: Wire) -> list[list[bytes]]:
+    return resp.WordsReader(BufferPool(64, 8), 1000).feed(wire.taken())
+
+
+ID = TXN.encode()
+
+
+def test_a_pull_waits_for_the_dial_and_goes_on_unchanged() -> None:
+    world = EngineWorld()
+    _, wire = world.started()
+    (pull,) = words(wire)
+    assert pull[:2] == [b"PULL", ID] and pull[3] == b"select"
+    assert resp.fields(pull[2]) == {"sort": "lookup", "patience": "1000"}
+    host, port, _, timeout, _ = world.reactor.tcpClients[0]
+    assert (host, port, timeout) == ("127.0.0.1", 1, 0.25)
+
+
+def test_key_and_priority_go_with_it() -> None:
+    world = EngineWorld()
+    world.module.script = lambda now, event: (
+        [api.Terms(event.request, 0.0, 2), api.Send(event.request, "e1", 300_000)]
+        if isinstance(event, api.Accept)
+        else [api.Terms(TXN, 0.0, 0)]
+    )
+    world.accept().unique = "5c0f"
+    world.run()
+    world.now_us += 50_000  # the dial took that long
+    wire = world.come_up(world.links()[0])
+    assert resp.fields(words(wire)[0][2]) == {"sort": "lookup", "patience": "250", "op": "5c0f", "band": "2"}
+    world.loop.gather(api.TimerDue(0))
+    world.run()
+    assert words(wire) == [[b"BOOST", ID, b"0"]]
+
+
+def test_pages_are_asked_for_at_once_and_answered_once_whole() -> None:
+    world = EngineWorld()
+    link, wire = world.started()
+    words(wire)
+    world.say(link, ID, b"served", b"total=3", b"a\n")
+    assert words(wire) == [[b"SCROLL", ID, b"1"], [b"SCROLL", ID, b"2"]]
+    world.say(link, ID, b"rows", b"index=2", b"c\n")
+    world.say(link, ID, b"rows", b"index=2", b"c\n")  # twice is once
+    assert not world.client.frames
+    world.say(link, ID, b"rows", b"index=1", b"b\n")
+    (answer,) = world.client.answers()
+    assert base64.b64decode(answer["result"]["body"]) == b"a\nb\nc\n"
+    assert world.outcomes() == [(0, Outcome.GOOD, True)] and not words(wire) and link.idle()
+
+
+@pytest.mark.parametrize(
+    ("word", "outcome"),
+    [(b"overload", Outcome.FULL), (b"crashed", Outcome.ERROR), (b"nobody", Outcome.MOOT)],
+)
+def test_each_answer_word_has_its_outcome(word: bytes, outcome: Outcome) -> None:
+    world = EngineWorld()
+    link, _ = world.started("e1")
+    world.say(link, ID, word, b"l=cpu:0.5", b"")
+    assert world.outcomes() == [(0, outcome, False)]
+    assert world.module.of(api.Settled)[0].report == {"cpu": 0.5}
+
+
+def test_a_page_that_is_lost_is_an_attempt_that_may_have_run() -> None:
+    world = EngineWorld()
+    link, wire = world.started("e1")
+    world.say(link, ID, b"served", b"total=2", b"a\n")
+    words(wire)
+    world.say(link, ID, b"crashed", b"-", b"")
+    assert world.outcomes() == [(0, Outcome.ERROR, False)] and not words(wire)
+
+
+def test_notes() -> None:
+    world = EngineWorld()
+    link, _ = world.started("e1")
+    for fields in (b"n=pct,datum=0.25", b"n=overflow,datum=96", b"n=queued,datum=2", b"-", b"n=odd,datum=1"):
+        world.say(link, ID, b"update", fields, b"")
+    assert [(e.kind, e.value) for e in world.module.of(api.Note)] == [
+        (api.NoteKind.PROGRESS, 0.25),
+        (api.NoteKind.SPILLS, 96.0),
+        (api.NoteKind.WAITS, 2.0),
+    ]
+    assert not world.outcomes()
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        (ID, b"served", b"total=0", b""),
+        (ID, b"served", b"total=10", b""),
+        (ID, b"served", b"total=x", b""),
+        (ID, b"served", b"-", b"x" * 60),
+        (ID, b"rows", b"index=1", b""),
+        (ID, b"what", b"-", b""),
+        (ID, b"update", b"n=pct,datum=x", b""),
+        (ID, b"served"),
+    ],
+)
+def test_an_answer_that_cannot_be_used_costs_its_attempt_alone(bad: tuple[bytes, ...]) -> None:
+    world = EngineWorld()
+    link, wire = world.started("e1")
+    world.say(link, *bad)
+    assert world.outcomes() == [(0, Outcome.ERROR, False)] and not wire.aborted
+
+
+def test_bytes_that_cannot_be_parsed_end_the_connection_and_its_attempts() -> None:
+    world = EngineWorld()
+    link, wire = world.started("e1")
+    link.dataReceived(b"HTTP/1.1 400\r\n")
+    assert wire.aborted
+    link.connectionLost(GONE)
+    world.run()
+    assert world.outcomes() == [(0, Outcome.RESET, False)] and not world.links()
+
+
+def test_a_refused_dial_proves_that_nothing_ran() -> None:
+    world = EngineWorld()
+    world.sends("e1")
+    world.accept()
+    world.run()
+    factory = world.reactor.tcpClients[0][2]
+    factory.clientConnectionFailed(None, REFUSED)
+    world.run()
+    assert world.outcomes() == [(0, Outcome.CONNECT_FAILED, False)] and not world.links()
+
+
+@pytest.mark.parametrize("mode", [api.Mode.DRAINING, api.Mode.GONE])
+def test_nothing_is_written_to_an_engine_that_drains_during_the_dial(mode: api.Mode) -> None:
+    world = EngineWorld()
+    world.sends("e1")
+    world.accept()
+    world.run()
+    (link,) = world.links()
+    world.loop.roster(roster(entry("e1", mode=mode)))
+    world.run()
+    wire = world.come_up(link)
+    world.run()
+    assert not wire.taken() and world.outcomes() == [(0, Outcome.MOOT, False)]
+
+
+def test_nothing_is_written_after_the_deadline_came_during_the_dial() -> None:
+    world = EngineWorld()
+    world.sends("e1")
+    world.accept()
+    world.run(1_000_000)
+    wire = world.come_up(world.links()[0])
+    assert not wire.taken() and world.outcomes() == [(0, Outcome.MOOT, False)]
+
+
+def cancel(world: World, number: int = 0) -> None:
+    base = world.module.script
+    world.module.script = lambda now, event: (
+        [api.Cancel(TXN, number)] if event == api.TimerDue(99) else base(now, event)
+    )
+    world.loop.gather(api.TimerDue(99))
+    world.run(10_000)
+
+
+def test_a_second_attempt_at_the_same_engine_takes_another_connection() -> None:
+    world = EngineWorld()
+    link, wire = world.started("e1", "e1")
+    words(wire)
+    cancel(world)
+    assert words(wire) == [[b"KILL", ID]]
+    first, second = world.links()
+    assert first is link
+    second_wire = world.come_up(second)
+    assert words(second_wire)[0][0] == b"PULL"
+    world.say(link, ID, b"served", b"total=1", b"late\n")  # the answer that crossed the kill
+    assert not world.client.frames and world.real.unknown == 1
+    world.say(second, ID, b"served", b"total=1", b"right\n")
+    assert base64.b64decode(world.client.answers()[0]["result"]["body"]) == b"right\n"
+
+
+def test_pages_that_are_given_up_are_discarded() -> None:
+    world = EngineWorld()
+    link, wire = world.started("e1")
+    world.say(link, ID, b"served", b"total=3", b"a\n")
+    words(wire)
+    cancel(world)
+    assert words(wire) == [[b"DISCARD", ID]] and world.outcomes() == [(0, Outcome.CANCELLED, False)]
+
+
+def test_connections_carry_as_many_as_the_settings_say_and_are_bounded() -> None:
+    world = EngineWorld()
+    world.module.script = lambda now, event: (
+        [api.Send(event.request, "e1", 0)] if isinstance(event, api.Accept) else []
+    )
+    for number in range(7):
+        world.accept(f"{number:016x}", ident=number)
+    world.run()
+    assert [len(link.open) for link in world.links()] == [2, 2, 2]
+    assert world.outcomes() == [(0, Outcome.CONNECT_FAILED, False)]
+
+
+def test_probes_share_connections_and_end_with_them() -> None:
+    world = EngineWorld()
+    link, wire = world.started("e1")
+    words(wire)
+    world.module.script = lambda now, event: [api.Probe("e1")] * 3 if event == api.TimerDue(1) else []
+    world.loop.gather(api.TimerDue(1))
+    world.run()
+    asked = words(wire)
+    assert [one[0] for one in asked] == [b"METER"] * 3 and world.links() == [link]
+    tags = [one[1] for one in asked]
+    world.say(link, tags[1], b"green", b"l=active:3;cpu:0.4", b"")
+    world.say(link, tags[0], b"red", b"-", b"")
+    world.say(link, tags[1], b"green", b"-", b"")  # answered before
+    link.connectionLost(GONE)
+    world.run()
+    told = [(e.outcome, e.report) for e in world.module.of(api.Probed)]
+    assert told == [(Outcome.GOOD, {"active": 3.0, "cpu": 0.4}), (Outcome.ERROR, {}), (Outcome.RESET, {})]
+
+
+def test_idle_connections_are_closed_by_our_side_first() -> None:
+    world = EngineWorld()
+    link, wire = world.started("e1")
+    world.say(link, ID, b"served", b"total=1", b"a\n")
+    world.now_us += 9_999_999
+    world.real.sweep()
+    assert not wire.aborted
+    world.now_us += 1
+    world.real.sweep()
+    assert wire.aborted
+
+
+def test_a_silent_connection_with_something_open_is_kept() -> None:
+    world = EngineWorld()
+    _, wire = world.started("e1")
+    world.now_us += 20_000_000
+    world.real.sweep()
+    assert not wire.aborted
+
+
+def test_an_address_that_passes_to_another_engine_gets_new_connections() -> None:
+    world = EngineWorld()
+    link, wire = world.started("e1")
+    words(wire)
+    world.loop.roster(roster(entry("e1", mode=api.Mode.GONE), entry("e9", 1)))
+    world.run()
+    world.module.script = lambda now, event: (
+        [api.Send(event.request, "e9", 0)] if isinstance(event, api.Accept) else []
+    )
+    world.accept("b" * 16, ident=8)
+    world.run()
+    (fresh,) = world.links("e9")
+    assert fresh is not link and not wire.taken()
+    world.say(link, ID, b"served", b"total=1", b"a\n")  # what was out there may still end well
+    assert len(world.client.frames) == 1
+    world.real.sweep()
+    assert wire.aborted
+    link.connectionLost(GONE)
+    assert link.record not in world.fleet.records()
+
+
+def test_the_loop_and_a_link_agree_that_a_stage_never_goes_back() -> None:
+    world = EngineWorld()
+    link, _ = world.started("e1")
+    world.say(link, ID, b"served", b"total=2", b"a\n")
+    attempt = world.book.requests[TXN].attempts[0]
+    assert attempt.stage is Stage.PAGES
+    world.say(link, ID, b"served", b"total=1", b"again\n")
+    assert world.outcomes() == [(0, Outcome.ERROR, False)]
+
+
+# ---------------------------------------------------------------- bulletin
+
+
+class BulletinWorld:
+    def __init__(self, last: int = 3) -> None:
+        self.told: list[Roster] = []
+        self.reactor: Any = MemoryReactorClock()  # type: ignore[no-untyped-call]
+        limits = BulletinLimits(4000, 3.5, 0.25, 0.1, 2.0, 1.0)
+        self.follower = Follower(
+            self.reactor, ("127.0.0.1", 8500), last, self.told.append, BufferPool(64, 8), limits
+        )
+        self.follower.start()
+        self.dials = 0
+
+    def come_up(self) -> tuple[Any, Wire, int]:
+        """The next dial comes through: the link, its wire, and the event after which it asks."""
+        factory = self.reactor.tcpClients[self.dials][2]
+        self.dials += 1
+        link, wire = factory.buildProtocol(None), Wire()
+        link.makeConnection(wire)
+        asked = wire.taken()
+        link.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n: hi\n\n")
+        return link._wrappedProtocol, wire, int(asked.partition(b"Last-Event-ID: ")[2].split(b"\r\n")[0])
+
+    def refuse(self) -> None:
+        factory = self.reactor.tcpClients[self.dials][2]
+        self.dials += 1
+        factory.clientConnectionFailed(None, REFUSED)
+
+    def numbers(self) -> list[int]:
+        return [roster.number for roster in self.told]
+
+
+def event(number: int, whole: bool = False, name: str = "e1") -> bytes:
+    point = {"name": name, "address": "127.0.0.1:1", "status": "Ready"}
+    data = {"no": number, "roster": {"index": number, "snapshot": whole, "endpoints": [point]}}
+    return f"id: {number}\ndata: {json.dumps(data)}\n\n".encode()
+
+
+def test_changes_come_in_order_and_once_across_a_break() -> None:
+    world = BulletinWorld()
+    link, _, after = world.come_up()
+    assert after == 3 and world.follower.connected
+    link.dataReceived(event(4) + event(5) + event(5) + event(4))
+    link.connectionLost(GONE)
+    assert not world.follower.connected
+    world.reactor.advance(0.1)
+    link, _, after = world.come_up()
+    assert after == 5
+    link.dataReceived(event(5) + event(6))
+    assert world.numbers() == [4, 5, 6]
+
+
+def test_waits_between_dials_double_up_to_a_bound_and_start_anew_once_heard() -> None:
+    world, waits = BulletinWorld(), list[float]()
+    for _ in range(7):
+        world.refuse()
+        (call,) = world.reactor.getDelayedCalls()
+        waits.append(round(call.getTime() - world.reactor.seconds(), 3))
+        world.reactor.advance(waits[-1])
+    assert waits == [0.1, 0.2, 0.4, 0.8, 1.6, 2.0, 2.0]
+    link, _, _ = world.come_up()
+    link.connectionLost(GONE)
+    (call,) = world.reactor.getDelayedCalls()
+    assert round(call.getTime() - world.reactor.seconds(), 3) == 0.1
+
+
+def test_silence_past_the_comments_means_connecting_again() -> None:
+    world = BulletinWorld()
+    link, wire, _ = world.come_up()
+    for _ in range(10):
+        world.reactor.advance(1.0)
+        link.dataReceived(b": here\n\n")
+        world.follower.check()
+    assert not wire.aborted
+    world.reactor.advance(3.6)
+    world.follower.check()
+    assert wire.aborted
+
+
+@pytest.mark.parametrize("bad", [b"data: {}\n\n", b"data: x\n\n", event(9)])
+def test_a_bad_event_or_a_gap_is_asked_for_afresh_and_old_states_are_not_told_as_news(bad: bytes) -> None:
+    world = BulletinWorld()
+    link, wire, _ = world.come_up()
+    link.dataReceived(event(4))
+    link.dataReceived(bad)
+    assert wire.aborted
+    link.connectionLost(GONE)
+    world.reactor.advance(0.1)
+    link, _, after = world.come_up()
+    assert after == 0
+    link.dataReceived(event(1, whole=True) + event(2) + event(3))
+    assert world.numbers() == [4]
+    link.dataReceived(event(4) + event(5))
+    assert world.numbers() == [4, 1, 2, 3, 4, 5]
+    link.dataReceived(event(6))
+    assert world.numbers()[-1] == 6
+
+
+def test_an_event_that_is_bad_in_the_whole_list_too_is_passed_over() -> None:
+    world = BulletinWorld()
+    for _ in range(2):
+        link, wire, _ = world.come_up()
+        link.dataReceived(b"data: {}\n\n")
+        if wire.aborted:
+            link.connectionLost(GONE)
+            world.reactor.advance(0.1)
+    assert not wire.aborted
+    link.dataReceived(event(1, whole=True) + event(4))
+    assert world.numbers() == [1, 4]
+
+
+def test_a_count_that_has_restarted_is_followed() -> None:
+    world = BulletinWorld(last=40)
+    link, _, _ = world.come_up()
+    link.dataReceived(event(1, whole=True, name="e7") + event(2) + event(2))
+    assert world.numbers() == [1, 2]
+
+
+def test_a_replay_of_a_restarted_count_is_told_after_a_while() -> None:
+    world = BulletinWorld(last=40)
+    link, _, _ = world.come_up()
+    link.dataReceived(b"data: {}\n\n")
+    link.connectionLost(GONE)
+    world.reactor.advance(0.1)
+    link, _, _ = world.come_up()
+    link.dataReceived(event(1, whole=True))
+    world.follower.check()
+    assert not world.told
+    world.reactor.advance(1.1)
+    world.follower.check()
+    assert world.numbers() == [1]
+
+
+def test_a_response_that_is_none_is_asked_for_again() -> None:
+    world = BulletinWorld()
+    link, wire, _ = world.come_up()
+    link.dataReceived(b"data: " + b"x" * 5000)
+    assert wire.aborted
+
+
+def test_a_follower_that_was_stopped_dials_no_more() -> None:
+    world = BulletinWorld()
+    link, wire, _ = world.come_up()
+    world.follower.stop()
+    assert wire.aborted
+    link.connectionLost(GONE)
+    assert not world.reactor.getDelayedCalls()
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,483 @@
+"""The loop with a clock in hand, a scripted module and engines that do nothing by themselves."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from ashcross.gateway import interface as api
+from ashcross.gateway.interface import Outcome
+from ashcross.loop import HostLimits, Loop
+from ashcross.memory.book import AttemptRecord, Book, ProbeRecord, RequestRecord, Stage
+from ashcross.memory.fleet import EngineRecord, Fleet
+from ashcross.wire import jsonrpc
+from tests.test_memory import entry, roster
+
+START_US = 1_700_000_000_000_000
+TXN = "9b1f03aa5c7e2d41"
+
+
+class Module:
+    """Notes what it is told and answers from a script."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[int, api.Event]] = []
+        self.script: Callable[[int, Any], list[api.Action]] = lambda now, event: []
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.told.append((now, event))
+        return self.script(now, event)
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for _, event in self.told if isinstance(event, kind)]
+
+
+class Client:
+    def __init__(self) -> None:
+        self.frames: list[tuple[int, bytes]] = []
+
+    def reply(self, ident: int, frame: bytes) -> None:
+        self.frames.append((ident, frame))
+
+    def answers(self) -> list[dict[str, Any]]:
+        return [json.loads(frame.split(b"\r\n\r\n", 1)[1]) for _, frame in self.frames]
+
+
+class Link:
+    def __init__(self) -> None:
+        self.log: list[tuple[Any, ...]] = []
+
+    def give_up(self, attempt: AttemptRecord) -> None:
+        self.log.append(("give up", attempt.number, attempt.stage))
+
+    def boost(self, attempt: AttemptRecord, priority: int) -> None:
+        self.log.append(("boost", attempt.number, priority))
+
+
+class Engines:
+    """Takes attempts; the test says how they go on."""
+
+    def __init__(self) -> None:
+        self.link = Link()
+        self.pulled: list[AttemptRecord] = []
+        self.probes: list[ProbeRecord] = []
+        self.closed: list[str] = []
+
+    def pull(self, attempt: AttemptRecord, engine: EngineRecord) -> None:
+        attempt.link = self.link
+        attempt.stage = Stage.ASKED
+        self.pulled.append(attempt)
+
+    def probe(self, probe: ProbeRecord, engine: EngineRecord) -> None:
+        self.probes.append(probe)
+
+    def close_idle(self, engine: EngineRecord) -> None:
+        self.closed.append(engine.name)
+
+
+class World:
+    """A loop whose clock and calls are the test's."""
+
+    def __init__(self, **limits: Any) -> None:
+        self.now_us = START_US
+        self.calls: list[tuple[int, int, Callable[[], None], list[bool]]] = []
+        self.module, self.engines, self.client = Module(), Engines(), Client()
+        self.book, self.fleet = Book(100, 10_000), Fleet()
+        self.fleet.take([roster(entry("e1"), entry("e2"), whole=True)])
+        bounds = {"max_attempts": 3, "answer_slack_us": 20_000, "probe_timeout_us": 250_000,
+                  "lag_warn_us": 1 << 60, "kill_wait_us": 10_000} | limits  # fmt: skip
+        self.loop = Loop(
+            lambda: self.now_us, self._later, self.module, self.book, self.fleet, HostLimits(**bounds)
+        )
+        self.loop.engines = self.engines
+
+    def _later(self, delay_s: float, call: Callable[[], None]) -> Any:
+        cancelled = [False]
+        self.calls.append((self.now_us + round(delay_s * 1e6), len(self.calls), call, cancelled))
+
+        class Handle:
+            def cancel(self) -> None:
+                cancelled[0] = True
+
+        return Handle()
+
+    def run(self, for_us: int = 0) -> None:
+        """Let time pass and make the calls that come due, in order."""
+        until_us = self.now_us + for_us
+        while due := [c for c in self.calls if c[0] <= until_us and not c[3][0]]:
+            first = min(due, key=lambda c: c[:2])
+            self.calls.remove(first)
+            self.now_us = max(self.now_us, first[0])
+            first[2]()
+        self.now_us = until_us
+
+    def accept(self, txn: str = TXN, limit_ms: float = 1000.0, ident: int = 7) -> RequestRecord:
+        query = jsonrpc.Query(txn, limit_ms, "acme", False, None, 10.0, 5.0, b"select")
+        return self.loop.accept(self.client, ident, 0, "lookup", 17, query, self.now_us)
+
+    def sends(self, *engines: str) -> None:
+        """The module sends to these, one after the other, as attempts end."""
+        left = list(engines)
+
+        def script(now: int, event: Any) -> list[api.Action]:
+            ended = isinstance(event, api.Settled) and not event.closed
+            if left and (ended or isinstance(event, api.Accept)):
+                return [api.Send(event.request, left.pop(0), 0)]
+            return []
+
+        self.module.script = script
+
+    def outcomes(self) -> list[tuple[int, Outcome, bool]]:
+        return [(e.attempt, e.outcome, e.closed) for e in self.module.of(api.Settled)]
+
+
+def sent(world: World) -> AttemptRecord:
+    world.sends("e1", "e2")
+    world.accept()
+    world.run()
+    (attempt,) = world.engines.pulled
+    return attempt
+
+
+def test_what_is_ready_goes_to_the_module_in_one_go_and_in_order() -> None:
+    world, order = World(), list[str]()
+
+    def script(now: int, event: Any) -> list[api.Action]:
+        order.append(type(event).__name__)
+        return [api.Log("x")]
+
+    world.module.script = script
+    world.accept("a" * 16, ident=1)
+    world.accept("b" * 16, ident=2)
+    world.loop.roster(roster(entry("e3")))
+    assert not world.module.told  # not before the turn
+    world.run()
+    assert order == ["EngineList", "Accept", "Accept"]
+    assert len({now for now, _ in world.module.told}) == 1
+
+
+def test_an_accept_says_what_is_left_from_the_last_byte() -> None:
+    world = World()
+    query = jsonrpc.Query(TXN, 1000.0, None, True, None, 820.0, 96.0, b"select")
+    arrived_us = world.now_us
+    world.now_us += 30_000  # read late
+    request = world.loop.accept(world.client, 7, 0, "lookup", 17, query, arrived_us)
+    world.run()
+    (event,) = world.module.of(api.Accept)
+    assert (event.left_us, event.hint_us, event.memory_mb, event.is_retry) == (970_000, 820_000, 96.0, True)
+    assert (event.tables, event.key, event.tenant) == (17, None, None)
+    assert request.deadline_us == arrived_us + 1_000_000
+
+
+def test_bytes_of_a_busy_loop_count_from_the_wait_before() -> None:
+    world = World()
+    world.loop.turn()
+    world.now_us += 40_000  # slept in the wait for sockets: what is there came just now
+    assert world.loop.arrived_us() == world.now_us
+    woke_us = world.now_us
+    world.loop.ask()
+    world.now_us += 5_000  # another connection's bytes, read after 5 ms of work
+    assert world.loop.arrived_us() == woke_us
+    world.now_us += 5_000
+    world.run()
+    world.now_us += 100  # the next wait ended at once: they may have come during the turn before
+    assert world.loop.arrived_us() == woke_us
+    world.loop.turn()
+    world.now_us += 50_000
+    assert world.loop.arrived_us() == world.now_us
+
+
+def test_good_reaches_the_client_and_ends_the_request() -> None:
+    world = World()
+    attempt = sent(world)
+    attempt.pages = [b"a\tb\tc\n", b"d\te\tf\n"]
+    world.now_us += 18_500
+    world.loop.settle(attempt, Outcome.GOOD)
+    world.loop.settle(attempt, Outcome.RESET)  # a second outcome is dropped
+    world.run()
+    (answer,) = world.client.answers()
+    assert answer["id"] == 7 and base64.b64decode(answer["result"]["body"]) == b"a\tb\tc\nd\te\tf\n"
+    (event,) = world.module.of(api.Settled)
+    assert (event.outcome, event.closed, event.latency_us) == (Outcome.GOOD, True, 18_500)
+    assert not world.book.requests and not world.book.open
+
+
+def test_an_attempt_that_did_not_run_leaves_the_answer_owed() -> None:
+    world = World()
+    world.loop.settle(sent(world), Outcome.CONNECT_FAILED)
+    world.run()
+    assert world.outcomes() == [(0, Outcome.CONNECT_FAILED, False)]
+    assert [attempt.number for attempt in world.engines.pulled] == [0, 1] and not world.client.frames
+
+
+def test_a_refusal_and_a_failure_are_answered_once() -> None:
+    world = World()
+    world.module.script = lambda now, event: (
+        [api.Refuse(event.request, 200_500), api.Fail(event.request)] if isinstance(event, api.Accept) else []
+    )
+    world.accept()
+    world.run()
+    (answer,) = world.client.answers()
+    assert answer["error"]["code"] == -32050 and answer["error"]["data"] == {"later": 201}
+    world.module.script = (
+        lambda now, event: [api.Fail(event.request)] if isinstance(event, api.Accept) else []
+    )
+    world.accept("b" * 16)
+    world.run()
+    assert world.client.answers()[1]["error"]["code"] not in (0, -32050)
+
+
+def test_the_deadline_ends_attempts_and_then_the_module_answers() -> None:
+    world = World()
+    attempt = sent(world)
+    world.module.script = lambda now, event: (
+        [api.Fail(event.request)] if isinstance(event, api.Settled) else []
+    )
+    world.run(999_999)
+    assert not world.outcomes()
+    world.run(1)
+    assert world.outcomes() == [(0, Outcome.TIMEOUT, False)]
+    assert world.engines.link.log == [("give up", 0, Stage.ASKED)] and attempt.settled
+    assert len(world.client.frames) == 1 and world.now_us == START_US + 1_000_000
+
+
+def test_a_cap_below_the_deadline_ends_the_attempt_and_the_kill_has_time_to_arrive() -> None:
+    world = World()
+    world.module.script = lambda now, event: (
+        [api.Send(event.request, "e1", 100_000)] if isinstance(event, api.Accept) else []
+    )
+    world.accept()
+    world.run(100_000)
+    assert world.engines.link.log and not world.outcomes()
+    world.run(10_000)
+    assert world.outcomes() == [(0, Outcome.TIMEOUT, False)]
+
+
+def test_a_cancelled_attempt_is_told_once_its_kill_has_had_time() -> None:
+    """A second copy sent elsewhere at once could overtake the word that gives the first one up."""
+    world = World()
+    attempt = sent(world)
+    world.loop.gather(api.TimerDue(0))
+    base = world.module.script
+    world.module.script = lambda now, event: (
+        [api.Cancel(TXN, 0)] if isinstance(event, api.TimerDue) else base(now, event)
+    )
+    world.run()
+    assert world.engines.link.log == [("give up", 0, Stage.ASKED)] and attempt.settled
+    world.run(9_000)
+    assert len(world.engines.pulled) == 1 and not world.outcomes()
+    world.run(1_000)
+    assert world.outcomes() == [(0, Outcome.CANCELLED, False)] and len(world.engines.pulled) == 2
+
+
+def test_an_answer_that_crosses_a_cancel_is_dropped() -> None:
+    world = World()
+    attempt = sent(world)
+    world.loop.gather(api.TimerDue(0))
+    world.module.script = lambda now, event: [api.Cancel(TXN, 0)] if isinstance(event, api.TimerDue) else []
+    world.run()
+    attempt.pages = [b"late\n"]
+    world.loop.settle(attempt, Outcome.GOOD)
+    world.run(20_000)
+    assert world.outcomes() == [(0, Outcome.CANCELLED, False)] and not world.client.frames
+
+
+@pytest.mark.parametrize("how", ["cancel", "deadline"])
+def test_what_was_given_up_during_the_dial_never_ran(how: str) -> None:
+    world = World()
+    attempt = sent(world)
+    attempt.stage = Stage.DIALLING
+    if how == "cancel":
+        world.loop.gather(api.TimerDue(0))
+        world.module.script = (
+            lambda now, event: [api.Cancel(TXN, 0)] if isinstance(event, api.TimerDue) else []
+        )
+        world.run()
+    else:
+        world.module.script = lambda now, event: []
+        world.run(1_000_000)
+    assert world.outcomes() == [(0, Outcome.MOOT, False)]
+
+
+def test_sends_that_may_not_be_made_are_moot() -> None:
+    world = World()
+    world.module.script = lambda now, event: (
+        [api.Send(event.request, name, cap) for name, cap in (("e1", 0), ("e2", 0), ("none", 0), ("e1", -1))]
+        if isinstance(event, api.Accept)
+        else []
+    )
+    world.accept()
+    world.run()
+    # a second copy, an engine not known, and past the most attempts
+    assert [o for _, o, _ in world.outcomes()] == [Outcome.MOOT] * 3
+    assert [attempt.number for attempt in world.engines.pulled] == [0]
+
+
+def test_a_send_in_the_turn_in_which_the_client_left_is_moot_and_counted() -> None:
+    world = World()
+    world.sends("e1")
+    request = world.accept()
+    world.loop.leave(request)
+    world.run()
+    assert world.outcomes() == [(0, Outcome.MOOT, True)] and not world.engines.pulled
+    assert not world.book.requests
+
+
+def test_an_engine_that_drains_within_the_turn_gets_nothing() -> None:
+    world = World()
+    world.sends("e1")
+    world.accept()
+    world.loop.roster(roster(entry("e1", mode=api.Mode.DRAINING)))
+    world.run()
+    assert world.outcomes() == [(0, Outcome.MOOT, False)] and not world.engines.pulled
+
+
+def test_a_client_that_left_is_owed_nothing() -> None:
+    world = World()
+    attempt = sent(world)
+    world.loop.leave(attempt.request)
+    world.loop.leave(attempt.request)
+    world.run()
+    assert len(world.module.of(api.ClientGone)) == 1
+    attempt.pages = [b"x\n"]
+    world.loop.settle(attempt, Outcome.GOOD)
+    world.run()
+    assert world.outcomes() == [(0, Outcome.GOOD, True)] and not world.client.frames
+    assert not world.book.requests
+
+
+def test_a_fault_of_the_module_costs_its_event_and_each_request_is_still_answered_once() -> None:
+    world = World()
+
+    def faulty(now: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Accept) and event.request == TXN:
+            raise RuntimeError("on purpose")
+        return [api.Refuse(event.request, 0)] if isinstance(event, api.Accept) else []
+
+    world.module.script = faulty
+    world.accept()
+    world.accept("b" * 16, ident=8)
+    world.run()
+    assert [ident for ident, _ in world.client.frames] == [8]
+    world.run(1_020_000)
+    assert [ident for ident, _ in world.client.frames] == [8, 7]
+    assert world.client.answers()[1]["error"]["code"] != -32050
+    assert len(world.module.of(api.ClientGone)) == 1 and world.loop.counts["overdue"] == 1
+
+
+def test_a_bad_action_costs_that_one() -> None:
+    world = World()
+    world.module.script = lambda now, event: (
+        [api.Send("unknown", "e1", 0), api.SetTimer("soon", 1), api.Refuse(event.request, 0)]  # type: ignore[arg-type]
+        if isinstance(event, api.Accept)
+        else []
+    )
+    world.accept()
+    world.run()
+    assert len(world.client.frames) == 1
+
+
+def test_timers_come_once_not_in_the_turn_that_asks_and_never_early() -> None:
+    world = World()
+
+    def script(now: int, event: Any) -> list[api.Action]:
+        if isinstance(event, api.Accept):
+            return [api.SetTimer(now - 5, 1), api.SetTimer(now + 75_000, 2)]
+        return []
+
+    world.module.script = script
+    world.accept()
+    world.run()
+    assert [e.token for e in world.module.of(api.TimerDue)] == [1]
+    world.run(74_999)
+    assert len(world.module.of(api.TimerDue)) == 1
+    world.run(1)
+    assert [e.token for e in world.module.of(api.TimerDue)] == [1, 2]
+    assert [now for now, e in world.module.told if e == api.TimerDue(2)] == [START_US + 75_000]
+
+
+def test_an_earlier_timer_moves_the_alarm() -> None:
+    world = World()
+    world.accept()  # its deadline is 1.02 s away
+    world.run()
+    world.loop.gather(api.TimerDue(0))
+    world.module.script = lambda now, event: [api.SetTimer(now + 10, 9)] if event == api.TimerDue(0) else []
+    world.run(10)
+    assert api.TimerDue(9) in world.module.of(api.TimerDue)
+
+
+def test_a_priority_goes_to_later_sends_and_at_once_to_what_is_out() -> None:
+    world = World()
+    world.module.script = lambda now, event: (
+        [api.Terms(event.request, 0.0, 3), api.Send(event.request, "e1", 0)]
+        if isinstance(event, api.Accept)
+        else [api.Terms(TXN, 0.0, 3), api.Terms(TXN, 0.0, 0)]
+    )
+    request = world.accept()
+    world.run()
+    assert request.priority == 3 and not world.engines.link.log
+    world.loop.gather(api.TimerDue(0))
+    world.run()
+    assert world.engines.link.log == [("boost", 0, 0)]
+
+
+def test_each_probe_has_one_outcome() -> None:
+    world = World()
+    world.loop.gather(api.TimerDue(0))
+    world.module.script = lambda now, event: (
+        [api.Probe("e1"), api.Probe("e2"), api.Probe("none")] if event == api.TimerDue(0) else []
+    )
+    world.run()
+    answered, silent = world.engines.probes
+    assert len({answered.tag, silent.tag}) == 2 and not set(answered.tag) <= jsonrpc.HEX
+    world.now_us += 700
+    world.loop.probed(answered, Outcome.GOOD, {"cpu": 0.5})
+    world.run(250_000)
+    world.loop.probed(silent, Outcome.GOOD, {})
+    world.run()
+    assert [(e.engine, e.outcome, e.report) for e in world.module.of(api.Probed)] == [
+        ("none", Outcome.CONNECT_FAILED, {}),
+        ("e1", Outcome.GOOD, {"cpu": 0.5}),
+        ("e2", Outcome.TIMEOUT, {}),
+    ]
+    assert world.module.of(api.Probed)[1].latency_us == 700
+
+
+def test_the_list_can_be_asked_for_while_the_bulletin_speaks() -> None:
+    world = World()
+    world.loop.gather(api.TimerDue(0))
+    world.module.script = lambda now, event: (
+        [api.Subscribe(True), api.FetchList(), api.Subscribe(False), api.CloseIdle("e1")]
+        if event == api.TimerDue(0)
+        else []
+    )
+    world.run()
+    kinds = [event.kind for event in world.module.of(api.EngineList)]
+    assert kinds == [api.ListKind.FULL, api.ListKind.FULL, api.ListKind.DELTA]
+    assert world.engines.closed == ["e1"]
+    world.loop.listed = lambda: False
+    world.loop.gather(api.TimerDue(0))
+    world.run()
+    assert [event.kind for event in world.module.of(api.EngineList)][3:5] == [api.ListKind.FAILED] * 2
+
+
+def test_while_closing_every_turn_asks_the_module_to_end_what_is_open() -> None:
+    world = World()
+    world.module.script = lambda now, event: ([api.Refuse(TXN, 0)] if isinstance(event, api.Closing) else [])
+    world.loop.closing = True
+    world.accept()
+    world.run()
+    assert len(world.client.frames) == 1 and len(world.module.of(api.Closing)) == 1
+    world.run(2_000_000)
+    assert len(world.module.of(api.Closing)) == 1
+
+
+def test_notes_reach_the_module() -> None:
+    world = World()
+    world.loop.note(sent(world), api.NoteKind.PROGRESS, 0.5)
+    world.run()
+    assert world.module.of(api.Note) == [api.Note(TXN, 0, "e1", api.NoteKind.PROGRESS, 0.5)]
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,167 @@
+"""The book, its deadlines, the fleet, and the phases."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+
+from ashcross.gateway import interface as api
+from ashcross.lifecycle.logs import Seldom
+from ashcross.lifecycle.phases import STEPS, Phase, PhaseError, Phases
+from ashcross.memory.book import COMPACT_FROM, AttemptRecord, Book, Deadlines, RequestRecord
+from ashcross.memory.fleet import Entry, Fleet, Roster
+
+
+class Nobody:
+    def reply(self, ident: int, frame: bytes) -> None:
+        raise AssertionError("no answer was due")
+
+
+def request(txn: str = "a" * 16, statement: bytes = b"select") -> RequestRecord:
+    return RequestRecord(txn, Nobody(), 1, "lookup", statement, None, 1_000_000)
+
+
+def test_deadlines_come_in_order_and_equal_ones_as_added() -> None:
+    deadlines, seen = Deadlines(), list[str]()
+    for at_us, what in ((30, "c"), (10, "a"), (20, "b1"), (20, "b2"), (40, "d")):
+        deadlines.add(at_us, seen.append, what)
+    assert deadlines.next_us() == 10
+    deadlines.run(30)
+    assert seen == ["a", "b1", "b2", "c"] and len(deadlines) == 1
+
+
+def test_what_comes_due_may_add_more() -> None:
+    deadlines, seen = Deadlines(), list[int]()
+
+    def again(number: int) -> None:
+        seen.append(number)
+        deadlines.add(10 * number, again, number + 1)
+
+    deadlines.add(1, again, 1)
+    deadlines.run(25)
+    assert seen == [1, 2, 3]
+
+
+def test_a_flood_of_settled_entries_is_not_kept() -> None:
+    deadlines, record = Deadlines(), request()
+    for number in range(3 * COMPACT_FROM):
+        attempt = AttemptRecord(record, number, "e", 0, 10)
+        attempt.settled = True
+        deadlines.add(1_000_000, print, attempt)
+    assert len(deadlines) <= COMPACT_FROM
+
+
+def test_the_book_bounds_requests_and_bytes_and_forgets() -> None:
+    book, first = Book(2, 100), request("a" * 16, b"x" * 60)
+    book.add(first)
+    assert not book.full(40) and book.full(41)
+    book.add(request("b" * 16, b""))
+    assert book.full(0)
+    attempt = AttemptRecord(first, 0, "e", 0, 10)
+    first.attempts.append(attempt)
+    book.end(first)
+    book.end(first)
+    book.sweep()
+    assert book.open == 1 and "a" * 16 in book.requests  # its attempt is still out
+    attempt.settled = True
+    book.sweep()
+    assert "a" * 16 not in book.requests and book.held_bytes == 0
+
+
+def entry(name: str, port: int = 1, mode: api.Mode = api.Mode.READY, boot_us: int = 0) -> Entry:
+    return Entry(api.EngineEntry(name, "z", "k", 0, mode, 1.0, boot_us), "127.0.0.1", port)
+
+
+def roster(*entries: Entry, whole: bool = False, number: int = 1) -> Roster:
+    return Roster(number, number, whole, entries)
+
+
+def test_lists_of_one_turn_are_told_as_one() -> None:
+    fleet = Fleet()
+    told = fleet.take([roster(entry("a"), entry("b"), whole=True)], api.ListKind.CACHED)
+    assert told.kind is api.ListKind.CACHED and len(told.entries) == 2
+    told = fleet.take(
+        [
+            roster(entry("b", mode=api.Mode.DRAINING), number=2),
+            roster(entry("b", mode=api.Mode.GONE), number=3),
+        ]
+    )
+    assert told.kind is api.ListKind.DELTA and told.version == 3
+    assert [(e.engine, e.mode) for e in told.entries] == [("b", api.Mode.GONE)]
+    assert list(fleet.engines) == ["a"]
+
+
+def test_a_whole_list_drops_what_it_does_not_name() -> None:
+    fleet = Fleet()
+    fleet.take([roster(entry("a"), entry("b"), whole=True)])
+    told = fleet.take([roster(entry("c"), whole=True), roster(entry("d"))])
+    assert told.kind is api.ListKind.FULL and [e.engine for e in told.entries] == ["c", "d"]
+    assert sorted(fleet.engines) == ["c", "d"]
+
+
+def test_a_name_elsewhere_or_as_a_new_process_is_a_new_record() -> None:
+    fleet = Fleet()
+    fleet.take([roster(entry("a", 1))])
+    first = fleet.engines["a"]
+    fleet.take([roster(entry("a", 1, api.Mode.DRAINING))])
+    assert fleet.engines["a"] is first and not first.ready
+    fleet.take([roster(entry("a", 2))])
+    second = fleet.engines["a"]
+    assert second is not first and first.mode is api.Mode.GONE
+    fleet.take([roster(entry("a", 2, boot_us=5))])
+    assert fleet.engines["a"] is not second
+
+
+def test_records_that_were_left_count_while_they_have_connections() -> None:
+    fleet = Fleet()
+    fleet.take([roster(entry("a", 1))])
+    old = fleet.engines["a"]
+    old.links.append(object())  # type: ignore[arg-type]
+    fleet.take([roster(entry("a", 2))])
+    assert old in fleet.records() and fleet.connections() == 1
+    old.links.clear()
+    assert old not in fleet.records() and not fleet.left
+
+
+def test_phases_allow_the_listed_steps_only() -> None:
+    for path in (
+        [Phase.SERVING, Phase.DRAINING, Phase.STOPPED],
+        [Phase.SERVING, Phase.STOPPED],
+        [Phase.STOPPED],
+    ):
+        phases, told = Phases(), list[Phase]()
+        phases.on_change(told.append)
+        assert not phases.well
+        for phase in path:
+            phases.enter(phase)
+            assert phases.well is (phase is Phase.SERVING)
+        assert told == path
+    for phase, after in STEPS.items():
+        for other in set(Phase) - after:
+            phases = Phases()
+            phases.now = phase
+            with pytest.raises(PhaseError):
+                phases.enter(other)
+    assert all(b in STEPS[a] for a, b in pairwise(Phase))
+
+
+def test_a_repeated_line_is_kept_back_and_counted() -> None:
+    from loguru import logger
+
+    now_s, lines = 0.0, list[str]()
+    sink = logger.add(lines.append, format="{message}")
+    try:
+        seldom = Seldom(lambda: now_s, gap_s=5.0)
+        for _ in range(4):
+            seldom.warn("engine", "odd")
+        seldom.warn("client", "odd")
+        now_s = 5.0
+        seldom.warn("engine", "odd")
+    finally:
+        logger.remove(sink)
+    assert [line.strip() for line in lines] == [
+        "engine: odd",
+        "client: odd",
+        "engine: odd (3 more like it since the last line)",
+    ]
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,260 @@
+"""The push parsers: every split point, round trips, and arbitrary bytes."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ashcross.memory.buffers import BufferPool
+from ashcross.wire import jsonrpc, resp, sse
+from ashcross.wire.framing import Framer, FramingError
+
+POOL = BufferPool(16, 64)
+
+
+def words_reader() -> resp.WordsReader:
+    return resp.WordsReader(POOL, 1000)
+
+
+def body_reader() -> jsonrpc.BodyReader:
+    return jsonrpc.BodyReader(POOL, 1000)
+
+
+def event_reader() -> sse.EventReader:
+    return sse.EventReader(POOL, 1000)
+
+
+RESP_STREAM = b"".join(
+    resp.encode(*words) for words in ((b"id1", b"served", b"total=2", b"a\tb\tc\n\r\n"), (b"", b"-"), ())
+)
+RPC_STREAM = b"".join(
+    (jsonrpc.frame(b'{"a":"\r\n\r\n"}'), b"X-Other: 1\r\ncontent-length:2\r\n\r\n{}", jsonrpc.frame(b""))
+)
+SSE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+SSE_BODY = (
+    "\ufeff: hi\n\nid: 1\r\ndata: one\r\ndata:two\r\n\r\nevent: x\rid: 2\rdata: \u00e4\r\rdata: three\n\n"
+).encode()
+SSE_PLAIN = SSE_HEAD + b"\r\n" + SSE_BODY
+SSE_CHUNKED = (
+    SSE_HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"".join(
+        b"%x;ext=1\r\n%b\r\n" % (len(part), part) for part in (SSE_BODY[:7], SSE_BODY[7:30], SSE_BODY[30:])
+    )
+)
+CASES: list[tuple[Callable[[], Any], bytes]] = [
+    (words_reader, RESP_STREAM),
+    (body_reader, RPC_STREAM),
+    (event_reader, SSE_PLAIN),
+    (event_reader, SSE_CHUNKED),
+]
+
+
+@pytest.mark.parametrize(("make", "stream"), CASES)
+def test_every_split_point_gives_the_same(make: Callable[[], Any], stream: bytes) -> None:
+    lent = POOL.lent
+    whole = make().feed(stream)
+    assert len(whole) == 3
+    for cut in range(len(stream) + 1):
+        reader = make()
+        assert reader.feed(stream[:cut]) + reader.feed(stream[cut:]) == whole, cut
+        reader.close()
+    reader = make()
+    assert [message for i in range(len(stream)) for message in reader.feed(stream[i : i + 1])] == whole
+    reader.close()
+    assert POOL.lent == lent
+
+
+def test_events_are_read_as_the_standard_says() -> None:
+    events = event_reader().feed(SSE_PLAIN)
+    assert events == [
+        sse.ServerEvent("1", "one\ntwo"),
+        sse.ServerEvent("2", "\u00e4"),
+        sse.ServerEvent("2", "three"),
+    ]
+    assert event_reader().feed(SSE_CHUNKED) == events
+
+
+@pytest.mark.parametrize("make", [words_reader, body_reader, event_reader])
+@given(st.lists(st.binary(max_size=60), max_size=8))
+def test_arbitrary_bytes_raise_the_parsers_error_alone(make: Callable[[], Any], parts: list[bytes]) -> None:
+    reader = make()
+    try:
+        for part in parts:
+            reader.feed(part)
+    except FramingError:
+        pass
+    finally:
+        reader.close()
+
+
+@given(st.lists(st.lists(st.binary(max_size=50), max_size=resp.WORDS_MOST), max_size=6), st.integers(1, 40))
+def test_resp_parses_what_it_encodes(messages: list[list[bytes]], step: int) -> None:
+    stream, reader = b"".join(resp.encode(*words) for words in messages), words_reader()
+    assert [m for i in range(0, len(stream), step) for m in reader.feed(stream[i : i + step])] == messages
+
+
+@pytest.mark.parametrize(
+    ("make", "bad"),
+    [
+        (words_reader, b"*9\r\n"),
+        (words_reader, b"*1\r\n$1001\r\n"),
+        (words_reader, b"*1\r\n$-1\r\n"),
+        (words_reader, b"*1\r\n$1\r\nabc"),
+        (words_reader, b"*" + b"1" * 20),
+        (words_reader, b"PING\r\n"),
+        (body_reader, b"Content-Length: 1001\r\n\r\n"),
+        (body_reader, b"Content-Length: -1\r\n\r\n"),
+        (body_reader, b"Content-Length: 1\r\nContent-Length: 1\r\n\r\n"),
+        (body_reader, b"Other: 1\r\n\r\n"),
+        (body_reader, b"nothing\r\n\r\n"),
+        (body_reader, b"x" * jsonrpc.HEAD_MOST),
+        (event_reader, b"HTTP/1.1 500 no\r\n\r\n"),
+        (event_reader, b"SMTP\r\n\r\n"),
+        (event_reader, b"x" * sse.HEAD_MOST),
+        (event_reader, SSE_HEAD + b"\r\n" + b"data: " + b"x" * 1001),
+        (event_reader, SSE_HEAD + b"\r\n" + b"data: xxxxxxxxx\n" * 120),
+        (event_reader, SSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\nfff\r\n"),
+        (event_reader, SSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n"),
+        (event_reader, SSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
+    ],
+)
+def test_what_breaks_the_form_or_a_bound_is_an_error(make: Callable[[], Any], bad: bytes) -> None:
+    with pytest.raises(FramingError):
+        make().feed(bad)
+
+
+def test_a_message_in_small_pieces_is_not_looked_at_for_each() -> None:
+    looks = 0
+
+    class Counting(jsonrpc.BodyReader):
+        def cut(self, data: bytes, at: int) -> tuple[int, bytes] | int:
+            nonlocal looks
+            looks += 1
+            return super().cut(data, at)
+
+    reader: Framer[bytes] = Counting(BufferPool(64, 64), 100_000)
+    stream = jsonrpc.frame(b"x" * 50_000)
+    assert [m for i in range(0, len(stream), 50) for m in reader.feed(stream[i : i + 50])] == [b"x" * 50_000]
+    assert looks <= 3
+
+
+def test_fields_and_reports() -> None:
+    assert resp.fields(b"total=3,l=active:7;cpu:0.61,odd") == {"total": "3", "l": "active:7;cpu:0.61"}
+    assert resp.fields(b"-") == {} and resp.join_fields({}) == b"-"
+    assert resp.join_fields({"sort": "lookup", "band": "2"}) == b"sort=lookup,band=2"
+    assert resp.load_report("active:7;cpu:0.61;x0:nan;x1:;odd;y:inf") == {"active": 7.0, "cpu": 0.61}
+
+
+# ------------------------------------------------------------------ JSON-RPC
+
+GOOD: dict[str, Any] = {
+    "txn": "9b1f03aa5c7e2d41",
+    "limit": 1500,
+    "body": base64.b64encode(b"select").decode(),
+}
+
+
+def call(params: Any, **more: Any) -> jsonrpc.Call:
+    content = {"jsonrpc": "2.0", "id": 7, "method": "report", "params": params} | more
+    return jsonrpc.parse_call(json.dumps(content).encode())
+
+
+def test_a_query_is_read_whole() -> None:
+    more = {"team": "acme", "second": 1, "unique": "5c0f", "cpu": 820.0, "memory": 96}
+    query = jsonrpc.parse_query(call(GOOD | more))
+    assert query == jsonrpc.Query("9b1f03aa5c7e2d41", 1500.0, "acme", True, "5c0f", 820.0, 96.0, b"select")
+    bare = jsonrpc.parse_query(call(GOOD))
+    assert (bare.team, bare.is_retry, bare.unique, bare.cpu_ms, bare.memory_mb) == (
+        None,
+        False,
+        None,
+        0.0,
+        0.0,
+    )
+    assert jsonrpc.parse_query(call(GOOD | {"second": "1"})).is_retry
+    assert not jsonrpc.parse_query(call(GOOD | {"second": "0"})).is_retry
+
+
+@pytest.mark.parametrize(
+    ("body", "code", "ident"),
+    [
+        (b"{", jsonrpc.PARSE_ERROR, None),
+        (b"\xff", jsonrpc.PARSE_ERROR, None),
+        (b"[" * 100_000, jsonrpc.PARSE_ERROR, None),
+        (b"[]", jsonrpc.INVALID_REQUEST, None),
+        (b'{"jsonrpc":"2.0","id":true,"method":"x"}', jsonrpc.INVALID_REQUEST, None),
+        (b'{"jsonrpc":"2.0","id":"7","method":"x"}', jsonrpc.INVALID_REQUEST, None),
+        (b'{"jsonrpc":"1.0","id":7,"method":"x"}', jsonrpc.INVALID_REQUEST, 7),
+        (b'{"jsonrpc":"2.0","id":7}', jsonrpc.INVALID_REQUEST, 7),
+        (b'{"jsonrpc":"2.0","id":7,"method":"x","params":[1]}', jsonrpc.INVALID_PARAMS, 7),
+    ],
+)
+def test_calls_that_cannot_be_taken(body: bytes, code: int, ident: int | None) -> None:
+    with pytest.raises(jsonrpc.CallError) as caught:
+        jsonrpc.parse_call(body)
+    assert (caught.value.code, caught.value.ident) == (code, ident)
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"txn": None},
+        {"txn": "xyz"},
+        {"txn": "9b1f03aa5c7e2d4g"},
+        {"limit": "1500"},
+        {"limit": -1},
+        {"limit": True},
+        {"limit": float("nan")},
+        {"limit": 1e300},
+        {"body": "*"},
+        {"body": 3},
+        {"team": 5},
+        {"unique": "a,b=c"},
+        {"unique": "a b"},
+        {"cpu": []},
+        {"memory": float("inf")},
+    ],
+)
+def test_wrong_parameters_are_named(wrong: dict[str, Any]) -> None:
+    with pytest.raises(jsonrpc.CallError, match=f"params.{next(iter(wrong))}") as caught:
+        jsonrpc.parse_query(call(GOOD | wrong))
+    assert (caught.value.code, caught.value.ident) == (jsonrpc.INVALID_PARAMS, 7)
+
+
+def test_a_limit_must_be_there() -> None:
+    with pytest.raises(jsonrpc.CallError, match=r"params\.limit"):
+        jsonrpc.parse_query(call({"txn": "9b1f03aa5c7e2d41"}))
+
+
+@given(st.lists(st.binary(max_size=30)), st.integers(1, 1 << 40))
+def test_rows_reach_the_client_unchanged(pages: list[bytes], ident: int) -> None:
+    (body,) = jsonrpc.BodyReader(POOL, 10_000).feed(jsonrpc.rows(ident, pages))
+    answer = jsonrpc.parse_answer(body)
+    assert answer.ident == ident and answer.result is not None
+    assert base64.b64decode(answer.result["body"]) == b"".join(pages)
+
+
+def test_refusals_failures_and_health() -> None:
+    def read(frame: bytes) -> jsonrpc.Answer:
+        (body,) = body_reader().feed(frame)
+        return jsonrpc.parse_answer(body)
+
+    refused = read(jsonrpc.refusal(3, 200))
+    assert (refused.ident, refused.code, refused.later_ms) == (3, -32050, 200)
+    assert b"data" not in jsonrpc.refusal(3, 0)
+    failed = read(jsonrpc.failure(4))
+    assert (failed.ident, failed.result) == (4, None) and failed.code not in (0, -32050)
+    assert read(jsonrpc.health(5, True)).result == {"well": True}
+
+
+def test_the_bulletin_is_asked_for_what_came_after() -> None:
+    lines = sse.request("10.0.0.1:8500", "/bulletins", 41).split(b"\r\n")
+    assert lines[0] == b"GET /bulletins HTTP/1.1" and b"Host: 10.0.0.1:8500" in lines
+    assert b"Last-Event-ID: 41" in lines and lines[-2:] == [b"", b""]
--- /dev/null
+++ b/tests/test_serve.py
@@ -0,0 +1,320 @@
+"""A whole dispatcher as a process on loopback against the toy fleet."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import IO, Any
+
+import pytest
+
+from ashcross.cli import main
+from ashcross.memory.buffers import BufferPool
+from ashcross.wire import asking, jsonrpc
+
+ROOT = Path(__file__).parent.parent
+LONG_S = 20.0  # bound of every wait: only a broken dispatcher or a machine that stands still takes it
+
+
+def wait_for(what: str, ready: Callable[[], Any]) -> Any:
+    until_s = time.monotonic() + LONG_S
+    while time.monotonic() < until_s:
+        got = ready()
+        if got:
+            return got
+        time.sleep(0.02)
+    raise AssertionError(f"waited in vain for {what}")
+
+
+class Program:
+    """A process whose lines are read as they come."""
+
+    def __init__(self, arguments: list[str], stream: str) -> None:
+        pipes: dict[str, Any] = {"stdin": subprocess.PIPE, stream: subprocess.PIPE}
+        self.process = subprocess.Popen([sys.executable, "-B", *arguments], cwd=ROOT, text=True, **pipes)
+        self.lines: list[str] = []
+        self._source: IO[str] = getattr(self.process, stream)
+        self._reader = threading.Thread(target=self._read, daemon=True)
+        self._reader.start()
+
+    def _read(self) -> None:
+        for line in self._source:
+            self.lines.append(line)
+
+    def find(self, pattern: str) -> re.Match[str] | None:
+        return next((match for line in list(self.lines) if (match := re.search(pattern, line))), None)
+
+    def close(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(LONG_S)
+        self._reader.join(LONG_S)
+        for stream in (self.process.stdin, self._source):
+            if stream is not None:
+                stream.close()
+
+
+class Stage:
+    """The toy fleet, one dispatcher, and a client."""
+
+    def __init__(self, folder: Path, **transport: Any) -> None:
+        path = folder / "config.json"
+        self.fleet = Program(["examples/toy_fleet.py", "--free-ports", "--write-config", str(path)], "stdout")
+        wait_for("the fleet", lambda: self.fleet.find("bulletin at"))
+        self.config = json.loads(path.read_text(encoding="utf-8"))
+        self.config["transport"] = {"log_level": "DEBUG"} | transport
+        path.write_text(json.dumps(self.config), encoding="utf-8")
+        self.node = Program(["-m", "ashcross", "serve", "--config", str(path)], "stderr")
+        match = wait_for("the dispatcher", lambda: self.node.find(r"listens on 127\.0\.0\.1:(\d+)"))
+        self.address = ("127.0.0.1", int(match.group(1)))
+        self.serial = 0
+
+    def command(self, line: str) -> str:
+        before = len(self.fleet.lines)
+        assert self.fleet.process.stdin is not None
+        self.fleet.process.stdin.write(line + "\n")
+        self.fleet.process.stdin.flush()
+        wait_for(line, lambda: len(self.fleet.lines) > before)
+        return self.fleet.lines[before].strip()
+
+    def state(self) -> dict[str, Any]:
+        return dict(json.loads(self.command("state")))
+
+    def question(
+        self, order: str = "", sort: str = "lookup", limit_ms: float = 5000.0, ident: int = 1
+    ) -> bytes:
+        self.serial += 1
+        statement = f"select * from sales_17.orders /* toy: {order} */".encode()
+        match = re.search(r"ms=(\d+)", order)
+        work_ms = float(match.group(1)) if match else 50.0  # an estimate that is right
+        params = {
+            "txn": f"{self.serial:016x}",
+            "limit": limit_ms,
+            "cpu": work_ms,
+            "memory": 8,
+            "team": "acme",
+        }
+        if sort == "load":
+            params["unique"] = f"{self.serial:032x}"
+        return jsonrpc.query(sort, ident, statement, params)
+
+    def ask(self, order: str = "", sort: str = "lookup", limit_ms: float = 5000.0) -> jsonrpc.Answer:
+        return asking.ask(self.address, self.question(order, sort, limit_ms), LONG_S)
+
+    def well(self) -> Any:
+        return (asking.ask(self.address, jsonrpc.call("ping", 1, {}), LONG_S).result or {}).get("well")
+
+    def descriptors(self) -> int:
+        return len(list(Path(f"/proc/{self.node.process.pid}/fd").iterdir()))
+
+    def close(self) -> None:
+        self.node.close()
+        self.fleet.close()
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Stage]:
+    stage = Stage(tmp_path_factory.mktemp("shared"))
+    yield stage
+    stage.close()
+
+
+@pytest.fixture
+def stage(tmp_path: Path) -> Iterator[Stage]:
+    stage = Stage(tmp_path)
+    yield stage
+    stage.close()
+
+
+class Crowd:
+    """Many questions on one connection, and the answers as they come."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.socket = socket.create_connection(address, timeout=LONG_S)
+        self.reader = jsonrpc.BodyReader(BufferPool(4096, 4), 1 << 20)
+        self.answers: list[jsonrpc.Answer] = []
+
+    def send(self, *frames: bytes) -> None:
+        self.socket.sendall(b"".join(frames))
+
+    def read(self, until: int) -> list[jsonrpc.Answer]:
+        while len(self.answers) < until:
+            data = self.socket.recv(65_536)
+            if not data:
+                raise AssertionError(f"closed after {len(self.answers)} of {until} answers")
+            self.answers += [jsonrpc.parse_answer(body) for body in self.reader.feed(data)]
+        return self.answers
+
+    def close(self) -> None:
+        self.socket.close()
+
+
+def row_numbers(answer: jsonrpc.Answer) -> list[int]:
+    return [int(row.split(b"\t")[0]) for row in asking.rows(answer).splitlines()]
+
+
+def test_served_with_one_page_and_with_many(shared: Stage) -> None:
+    assert shared.well() is True
+    assert row_numbers(shared.ask()) == list(range(20))
+    assert row_numbers(shared.ask("rows=1000", "report")) == list(range(1000))
+    assert row_numbers(shared.ask("rows=300", "load")) == list(range(300))
+
+
+def test_answers_in_any_order_on_one_connection(shared: Stage) -> None:
+    crowd = Crowd(shared.address)
+    waits_ms = [400, 10, 200, 10, 300, 10, 10, 100]
+    crowd.send(*(shared.question(f"ms={ms} rows={10 + n}", ident=n + 1) for n, ms in enumerate(waits_ms)))
+    answers = crowd.read(len(waits_ms))
+    assert sorted(answer.ident or 0 for answer in answers) == list(range(1, len(waits_ms) + 1))
+    assert all(row_numbers(answer) == list(range(9 + (answer.ident or 0))) for answer in answers)
+    assert answers[-1].ident == 1
+    crowd.close()
+
+
+def test_what_no_engine_takes_is_refused_with_a_wait(shared: Stage) -> None:
+    answer = shared.ask("answer=overload", limit_ms=1500.0)
+    assert answer.code == jsonrpc.REFUSED and answer.later_ms > 0
+
+
+def test_an_engine_that_never_answers_does_not_keep_the_client_waiting(shared: Stage) -> None:
+    began_s = time.monotonic()
+    answer = shared.ask("answer=silence", limit_ms=800.0)
+    assert answer.result is None and time.monotonic() - began_s < LONG_S / 2
+    wait_for("the engines to be told", lambda: sum(shared.state()[e]["KILL"] for e in ("e1", "e2", "e3")) > 0)
+
+
+def test_a_bad_client_costs_itself_alone(shared: Stage) -> None:
+    good, bad = Crowd(shared.address), Crowd(shared.address)
+    good.send(shared.question("ms=300", ident=1))
+    bad.send(b"nonsense\r\n\r\n")
+    with contextlib.suppress(ConnectionResetError):  # the connection is ended either way
+        assert bad.socket.recv(100) == b""
+    good.send(jsonrpc.call("dance", 2, {}))
+    first, second = good.read(2)
+    assert (first.ident, first.code) == (2, jsonrpc.UNKNOWN_METHOD) and second.result is not None
+    good.close()
+    bad.close()
+
+
+def test_descriptors_and_open_requests_return_to_where_they_were(shared: Stage) -> None:
+    shared.ask()
+    before = wait_for("quiet", shared.descriptors)
+    for _ in range(3):
+        crowds = [Crowd(shared.address) for _ in range(10)]
+        for crowd in crowds:
+            crowd.send(*(shared.question("ms=2000", ident=n + 1) for n in range(3)))
+        for crowd in crowds:
+            crowd.close()  # with all its requests open
+    wait_for("the connections to be gone", lambda: shared.descriptors() <= before + 4)
+    assert row_numbers(shared.ask()) == list(range(20))
+
+
+def test_an_engine_that_dies_in_flight_costs_an_attempt_not_the_request(stage: Stage) -> None:
+    crowd = Crowd(stage.address)
+    crowd.send(*(stage.question("ms=500", ident=n + 1) for n in range(6)))
+    wait_for("the pulls", lambda: sum(stage.state()[e]["PULL"] for e in ("e1", "e2", "e3")) >= 6)
+    busiest = max(("e1", "e2", "e3"), key=lambda name: stage.state()[name]["PULL"])
+    assert stage.command(f"kill {busiest}") == "ok"
+    answers = crowd.read(6)
+    assert sum(answer.result is not None for answer in answers) == 6
+    crowd.close()
+
+
+def test_a_bulletin_that_is_cut_or_silent_is_followed_again(stage: Stage) -> None:
+    wait_for("a reader", lambda: stage.state()["readers"] == 1)
+    assert stage.command("cut") == "ok"
+    wait_for("a reader again", lambda: stage.state()["readers"] == 1)
+    for name in ("e1", "e2"):
+        stage.command(f"gone {name}")
+    # what is left must carry all of it
+    wait_for("the news", lambda: stage.ask("rows=3").result and stage.state()["e3"]["PULL"] >= 2)
+    pulled = stage.state()
+    for _ in range(5):
+        assert row_numbers(stage.ask("rows=3")) == [0, 1, 2]
+    after = stage.state()
+    assert [after[e]["PULL"] - pulled[e]["PULL"] for e in ("e1", "e2", "e3")] == [0, 0, 5]
+    assert stage.command("start e1") == "ok"  # at another address
+    stage.command("gone e3")
+    stage.command("mute")
+    wait_for(
+        "the new address",
+        lambda: stage.ask("rows=3").result and stage.state()["e1"]["PULL"] > after["e1"]["PULL"],
+    )
+    wait_for("silence to be noticed", lambda: stage.node.find("fallen silent"))
+
+
+def test_sigterm_in_traffic_loses_nothing(stage: Stage) -> None:
+    crowd = Crowd(stage.address)
+    crowd.send(*(stage.question("ms=900", ident=n + 1) for n in range(8)))
+    crowd.send(stage.question("answer=silence", ident=9, limit_ms=9000.0))
+    wait_for("the pulls", lambda: sum(stage.state()[e]["PULL"] for e in ("e1", "e2", "e3")) >= 8)
+    began_s = time.monotonic()
+    stage.node.process.send_signal(signal.SIGTERM)
+    wait_for("the signal to be taken", lambda: stage.node.find("serving -> draining"))
+    stage.node.process.send_signal(signal.SIGTERM)  # a second one does no harm
+    assert stage.well() is False
+    late = Crowd(stage.address)  # new connections are still taken, and requests on them served
+    late.send(stage.question("ms=20 rows=5"))
+    assert row_numbers(late.read(1)[0]) == list(range(5))
+    answers = {answer.ident: answer for answer in crowd.read(9)}
+    assert all(answers[ident].result is not None for ident in range(1, 9))
+    assert answers[9].result is None  # refused or failed before the kill that the page allows for
+    assert stage.node.process.wait(LONG_S) == 0
+    assert time.monotonic() - began_s >= 1.0
+    assert stage.node.find("draining -> stopped")
+    crowd.close()
+    late.close()
+
+
+def test_the_command_line_asks_and_pings(shared: Stage, capfd: pytest.CaptureFixture[str]) -> None:
+    at = f"{shared.address[0]}:{shared.address[1]}"
+    assert main(["ping", "--at", at]) == 0
+    assert main(["ask", "lookup", "select * from sales_17.orders /* toy: rows=2 */", "--at", at]) == 0
+    assert capfd.readouterr().out == "well\n0\trow number 0\t\n1\trow number 1\tx\n"
+    refused = "select * from sales_17.orders /* toy: answer=overload */"
+    assert main(["ask", "lookup", refused, "--at", at, "--limit-ms", "1500"]) == 3
+    assert "come back in" in capfd.readouterr().err
+    assert main(["ask", "dance", "select 1", "--at", at]) == 4
+    assert "no such method" in capfd.readouterr().err
+
+
+def test_the_command_line_without_a_dispatcher(capfd: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        at = f"127.0.0.1:{unused.getsockname()[1]}"
+        assert main(["ping", "--at", at]) == 5
+    assert "no answer" in capfd.readouterr().err
+    assert main(["ping", "--at", "nowhere"]) == 2
+    assert main(["version"]) == 0
+    assert main(["check-config", "--config", str(ROOT / "examples" / "config.json")]) == 0
+    assert "lookup, report, load" in capfd.readouterr().out
+    broken = tmp_path / "broken.json"
+    broken.write_text('{"settings": {"Classes": [{"Name": "a"}]}}', encoding="utf-8")
+    for command in ("serve", "check-config"):
+        assert main([command, "--config", str(broken)]) == 2
+        assert capfd.readouterr().err == (
+            "ashcross: settings.Classes[0].Aim: wanted a number of 1 or more, found nothing\n"
+        )
+    with pytest.raises(SystemExit) as caught:
+        main(["dance"])
+    assert caught.value.code == 2
+
+
+def test_an_address_in_use_is_an_error_not_a_crash(shared: Stage, tmp_path: Path) -> None:
+    config = shared.config | {"listen": f"{shared.address[0]}:{shared.address[1]}"}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config), encoding="utf-8")
+    second = subprocess.run(
+        [sys.executable, "-B", "-m", "ashcross", "serve", "--config", str(path)],
+        cwd=ROOT, capture_output=True, text=True, timeout=LONG_S, check=False,
+    )  # fmt: skip
+    assert second.returncode == 1 and "cannot listen" in second.stderr and "Traceback" not in second.stderr
--- /dev/null
+++ b/tests/test_statement.py
@@ -0,0 +1,64 @@
+"""The group of tables of a statement."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ashcross.wire.statement import group_of_tables
+
+
+@pytest.mark.parametrize(
+    ("text", "group"),
+    [
+        ("select * from sales_17.orders", 17),
+        ("SELECT a FROM sales_17.orders o JOIN sales_17.lines l ON o.id = l.id", 17),
+        ("select 'it''s from sales_3.x' from sales_17.orders", 17),
+        ("select 1 -- from sales_3.x\nfrom sales_17.orders", 17),
+        ("select /* from sales_3.x */ 1 from sales_17.orders", 17),
+        ("select /* outer /* from sales_3.x */ still */ 1 from sales_17.orders", 17),
+        ("select /* never closes as nested /* */ 1 from sales_17.orders", 17),
+        ("select * from /* sales_3.x", 0),
+        ("select '", 0),
+        ('select * from "sales_17"."orders"', 17),
+        ('select * from "sales_17".orders', 17),
+        ('select * from "odd "" name_17".orders', 17),
+        ("select * from `sales_17`.`orders`", 17),
+        ("select * from [sales_17].[orders]", 17),
+        ("select * from sales_17 . orders", 17),
+        ("select * from db.sales_17.orders", 17),
+        ("insert into sales_17.orders select * from staging.batch_9", 17),
+        ("insert into sales_17.orders (a, b) values ('x', 2)", 17),
+        ("insert into staging.batch_3 select * from sales_17.orders", 17),
+        ("INSERT INTO sales_17.orders SELECT * FROM STAGING.in_4", 17),
+        ("update sales_17.orders set a = 1 where b = 'c_3.d'", 17),
+        ("delete from only sales_17.orders", 17),
+        ("merge into sales_17.orders using staging.new_2 n on n.id = 1", 17),
+        ("with x as (select * from sales_17.orders) select * from x", 17),
+        ("select t_3.id from sales_17.orders as t_3", 17),
+        ("select extract(year from t_3.day) from sales_17.orders t_3", 17),
+        ("select * from (select * from sales_17.orders) t_3 where t_3.x = 1", 17),
+        ("select * from staging.a_1, sales_17.orders", 17),
+        ("select $$ from sales_3.x $$ from sales_17.orders", 17),
+        ("truncate table sales_17.orders", 17),
+        ("copy sales_17.orders from stdin", 17),
+        ("create table if not exists sales_17.orders (a int)", 17),
+        ("select 1.5, 2.x from sales_017.orders", 17),
+        ("select 1", 0),
+        ("select * from orders", 0),
+        ("select * from staging.orders", 0),
+        ("", 0),
+    ],
+)
+def test_group(text: str, group: int) -> None:
+    assert group_of_tables(text) == group
+
+
+@given(st.text(alphabet=" abc_17.,()'\"-/*$`[]\nfromselect", max_size=80))
+def test_any_text_has_an_answer(text: str) -> None:
+    assert group_of_tables(text) >= 0
+
+
+@given(st.text(max_size=30))
+def test_strings_do_not_count(text: str) -> None:
+    quoted = text.replace("'", "''")
+    assert group_of_tables(f"select '{quoted}' from sales_17.orders") == 17
