--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -133,16 +133,19 @@
     def tell(self) -> None:
         """A line on what has been done so far."""
         logger.info(
-            "{}; open {}, clients {}, engine connections {}, answers for nothing {}, worst lag {:.1f} ms, "
-            "longest turn {:.1f} ms",
+            "{}; open {}, clients {}, engine connections {}, answers for nothing {}, bulletin {} at {}, "
+            "worst lag {:.1f} ms, longest turn {:.1f} ms",
             ", ".join(f"{name} {count}" for name, count in self.loop.counts.items()),
             self.book.open,
             len(self.clients.links),
             self.fleet.connections(),
             self.engines.unknown,
+            "up" if self.follower is not None and self.follower.connected else "down",
+            self.follower.last if self.follower is not None else self.config.known_no,
             self.loop.worst_lag_us / 1000,
             self.loop.worst_turn_us / 1000,
         )
+        self.loop.worst_lag_us = self.loop.worst_turn_us = 0
 
     # ----------------------------------------------------------------- stop
 
@@ -173,6 +176,9 @@
         self._reactor.callLater(STOP_LOOK_S, self._look)
 
     def _finish(self) -> None:
+        if self._port is not None:
+            self._port.stopListening()
+        self.loop.abandon()
         self.tell()
         self.phases.enter(Phase.STOPPED)
         if self.follower is not None:
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from loguru import logger
@@ -133,7 +133,7 @@
                 key=None,
                 memory_mb=query.memory_mb,
                 hint_us=int(query.cpu_ms * 1000),
-                left_us=max(0, deadline_us - self.clock()),
+                left_us=0,  # counted when the module is told
                 tenant=query.team,
                 is_retry=query.is_retry,
             )
@@ -215,6 +215,9 @@
         actions: list[api.Action] = []
         for event in ready:
             try:
+                if isinstance(event, api.Accept):  # what has passed since its last byte is gone
+                    left_us = self.book.requests[event.request].deadline_us - now
+                    event = replace(event, left_us=max(0, left_us))
                 actions += self.module.handle(now, event)
             except Exception as error:  # a fault costs this event, never the process
                 seldom.warn("module", f"fault on {type(event).__name__}", error)
@@ -318,6 +321,12 @@
         self.book.end(request)
         request.client.reply(request.ident, frame)
 
+    def abandon(self) -> None:
+        """The process ends: what the module left without an answer is failed."""
+        for request in list(self.book.requests.values()):
+            if not request.over:
+                self._answer(request, jsonrpc.failure(request.ident), "failed")
+
     # --------------------------------------------------------- what is due
 
     def _timer(self, token: int) -> None:
--- a/ashcross/wire/jsonrpc.py
+++ b/ashcross/wire/jsonrpc.py
@@ -78,6 +78,8 @@
         raise CallError(INVALID_REQUEST, "the id is no whole number", None)
     if content.get("jsonrpc") != "2.0" or not isinstance(method, str):
         raise CallError(INVALID_REQUEST, "not a JSON-RPC 2.0 call", ident)
+    if method == "abort" and isinstance(params, list) and len(params) == 1:
+        params = {"id": params[0]}  # by place in place of by name
     if not isinstance(params, dict):
         raise CallError(INVALID_PARAMS, "params is no object", ident)
     return Call(method, ident, params)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -106,9 +106,9 @@
     assert [answer.result for answer in answers(wire)] == [{"well": True}, {"well": False}]
 
 
-@pytest.mark.parametrize("params", [{"id": 7}, {"txn": TXN}])
+@pytest.mark.parametrize("params", [{"id": 7}, {"txn": TXN}, [7]])
 @pytest.mark.parametrize("ident", [None, 99])
-def test_an_abort_ends_what_is_owed(params: dict[str, Any], ident: int | None) -> None:
+def test_an_abort_ends_what_is_owed(params: Any, ident: int | None) -> None:
     world = ClientWorld()
     link, wire = world.connect()
     link.dataReceived(question())
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -166,9 +166,10 @@
     arrived_us = world.now_us
     world.now_us += 30_000  # read late
     request = world.loop.accept(world.client, 7, 0, "lookup", 17, query, arrived_us)
+    world.now_us += 15_000  # and the rest of the round took this long
     world.run()
     (event,) = world.module.of(api.Accept)
-    assert (event.left_us, event.hint_us, event.memory_mb, event.is_retry) == (970_000, 820_000, 96.0, True)
+    assert (event.left_us, event.hint_us, event.memory_mb, event.is_retry) == (955_000, 820_000, 96.0, True)
     assert (event.tables, event.key, event.tenant) == (17, None, None)
     assert request.deadline_us == arrived_us + 1_000_000
 
@@ -476,6 +477,16 @@
     assert len(world.module.of(api.Closing)) == 1
 
 
+def test_what_the_module_leaves_open_at_the_end_is_failed() -> None:
+    world = World()
+    world.accept()
+    world.run()
+    world.loop.abandon()
+    world.loop.abandon()
+    (answer,) = world.client.answers()
+    assert answer["error"]["code"] not in (0, -32050)
+
+
 def test_notes_reach_the_module() -> None:
     world = World()
     world.loop.note(sent(world), api.NoteKind.PROGRESS, 0.5)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -322,6 +322,28 @@
     assert all(t.over for t in play.referee.taken.values())
 
 
+@given(st.integers(0, 10_000))
+@hyp(max_examples=50, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+def test_closing_ends_all_that_is_open_within_the_rules(seed: int) -> None:
+    play = Play(seed)
+    for _ in range(120):
+        play.step()
+    play.do(api.Closing())
+    assert all(t.over for t in play.referee.taken.values())
+    play.do(api.Closing())  # ends nothing twice: the referee would object
+
+
+def test_closing_refuses_what_is_harmless_and_fails_the_rest() -> None:
+    unsafe = replace(LOOKUP, effect=api.Effect.UNSAFE)
+    world = World(settings(LOOKUP, LOAD, unsafe))
+    for which in (0, 1, 2):
+        assert sends(world.accept(which))
+    world.listed([])
+    world.accept(2)  # no engine to send to: it never ran
+    last = [type(action) for action in world.do(api.Closing()) if isinstance(action, api.Refuse | api.Fail)]
+    assert last == [api.Refuse, api.Refuse, api.Fail, api.Refuse]
+
+
 def test_same_events_same_actions() -> None:
     for seed in range(10):
         logs = []
