--- a/ashcross/lifecycle/logs.py
+++ b/ashcross/lifecycle/logs.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from collections.abc import Callable
+from typing import Any
 
 from loguru import logger
 
@@ -19,6 +20,20 @@
     logger.add(sys.stderr, level=level, format=FORMAT, backtrace=False, diagnose=False)
 
 
+def watch_twisted() -> None:
+    """Pass on what Twisted logs of faults in protocols and Deferreds; the rest of its lines is dropped."""
+    from twisted.logger import globalLogBeginner
+
+    observer: Any = _fault
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
+
+
+def _fault(event: dict[str, Any]) -> None:
+    failure = event.get("log_failure")
+    if failure is not None:
+        seldom.warn("twisted", str(event.get("log_format", "fault"))[:200], failure.value)
+
+
 class Seldom:
     """Logs one line for each topic and gap, and counts what it kept back."""
 
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -13,6 +13,7 @@
 
 from ashcross.gateway.interface import Closing, ListKind
 from ashcross.gateway.policy import Gateway
+from ashcross.lifecycle import logs
 from ashcross.lifecycle.clock import Clock
 from ashcross.lifecycle.config import Config, raise_descriptor_limit
 from ashcross.lifecycle.logs import seldom
@@ -164,7 +165,15 @@
         self._look()
 
     def _look(self) -> None:
-        now = self.clock()
+        """See, again and again, whether all is answered or the time is up."""
+        try:
+            self._advance(self.clock())
+        except Exception as error:  # the end must come all the same
+            seldom.warn("stop", "fault", error)
+        if self.phases.now is Phase.DRAINING:
+            self._reactor.callLater(STOP_LOOK_S, self._look)
+
+    def _advance(self, now: int) -> None:
         done = not self.book.open and self.clients.written_out()
         last_us = self._stop_us + self.config.transport.stop_margin_ms * 1000
         if done and now >= self._quiet_us or now >= last_us:
@@ -173,26 +182,26 @@
         if now >= self._stop_us and not self.loop.closing:
             self.loop.closing = True
             self.loop.gather(Closing())
-        self._reactor.callLater(STOP_LOOK_S, self._look)
 
     def _finish(self) -> None:
+        self.phases.enter(Phase.STOPPED)
+        # what was written is sent before the process ends
+        self._reactor.callLater(STOP_LOOK_S, self._reactor.stop)
         if self._port is not None:
             self._port.stopListening()
         self.loop.abandon()
         self.tell()
-        self.phases.enter(Phase.STOPPED)
         if self.follower is not None:
             self.follower.stop()
         self.engines.close()
         for link in list(self.clients.links):
             link.finish()
-        # what was written is sent before the process ends
-        self._reactor.callLater(STOP_LOOK_S, self._reactor.stop)
 
 
 def run(config: Config, reactor: Any = default_reactor) -> int:
     """Serve until a signal ends it."""
     raise_descriptor_limit(config.sockets)
+    logs.watch_twisted()
     service = Service(config, reactor)
 
     def on_signal(number: int, frame: Any) -> None:
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -19,7 +19,8 @@
 from ashcross.memory.fleet import EngineRecord, Fleet, Roster
 from ashcross.wire import jsonrpc
 
-KILLED = (Outcome.CANCELLED, Outcome.TIMEOUT)
+# outcomes by which an engine may still work for the attempt until it hears of its end
+UNHEARD = (Outcome.CANCELLED, Outcome.TIMEOUT, Outcome.RESET)
 SLEPT_US = 1_000  # a wait for sockets longer than this found nothing older in them
 
 
@@ -161,9 +162,10 @@
         attempt.pages = []
         now = self.clock()
         told = (attempt, outcome, now - attempt.sent_us)
-        if outcome in KILLED and not request.over and now < request.deadline_us:
+        if outcome in UNHEARD and not request.over and now < request.deadline_us:
             # the word that gives it up is still under way, and no other attempt may overtake it
             self.book.deadlines.add(now + self.limits.kill_wait_us, self._tell, told)
+            self._set_alarm()  # a reset comes outside of a turn
         else:
             self._tell(told)
 
@@ -197,21 +199,44 @@
 
     def turn(self) -> None:
         """One turn: what is due and ready, all to the module, then all that it asks for."""
-        self._asked = True  # what comes due now belongs to this turn
         now = self.clock()
+        try:
+            for action in self._hand_over(now, self._gathered(now)):
+                try:
+                    self._carry_out(now, action)
+                except Exception as error:
+                    seldom.warn("action", f"fault on {type(action).__name__}", error)
+            self.book.sweep()
+        finally:  # whatever fails, the next turn must come
+            self._asked = False
+            if self._ready or self._rosters:
+                self.ask()
+            self._set_alarm()
+            self._turn_end_us = end_us = self.clock()
+            self.worst_turn_us = max(self.worst_turn_us, end_us - now)
+
+    def _gathered(self, now: int) -> list[api.Event]:
+        """All that is due and ready, news of the engines first."""
+        self._asked = True  # what comes due now belongs to this turn
         due_us = self.book.deadlines.next_us()
-        if due_us is not None and now - due_us > self.worst_lag_us:
-            self.worst_lag_us = now - due_us
-        if due_us is not None and now - due_us > self.limits.lag_warn_us:
-            seldom.warn("lag", f"a turn began {(now - due_us) / 1000:.0f} ms after it was due")
+        lag_us = 0 if due_us is None else now - due_us
+        self.worst_lag_us = max(self.worst_lag_us, lag_us)
+        if lag_us > self.limits.lag_warn_us:
+            seldom.warn("lag", f"a turn began {lag_us / 1000:.0f} ms after it was due")
         self.book.deadlines.run(now)
         ready, self._ready = self._ready, []
         rosters, self._rosters = self._rosters, []
-        self._asked = False
         if rosters:
-            ready.insert(0, self.fleet.take(rosters))
+            try:
+                ready.insert(0, self.fleet.take(rosters))
+            except Exception as error:  # what else is ready must not be lost with it
+                seldom.warn("fleet", "news of the engines cannot be taken in", error)
         if self.closing and self.book.open:
             ready.append(api.Closing())
+        return ready
+
+    def _hand_over(self, now: int, ready: list[api.Event]) -> list[api.Action]:
+        """Everything to the module, and what it wants done."""
         actions: list[api.Action] = []
         for event in ready:
             try:
@@ -221,15 +246,7 @@
                 actions += self.module.handle(now, event)
             except Exception as error:  # a fault costs this event, never the process
                 seldom.warn("module", f"fault on {type(event).__name__}", error)
-        for action in actions:
-            try:
-                self._carry_out(now, action)
-            except Exception as error:
-                seldom.warn("action", f"fault on {type(action).__name__}", error)
-        self.book.sweep()
-        self._set_alarm()
-        self._turn_end_us = end_us = self.clock()
-        self.worst_turn_us = max(self.worst_turn_us, end_us - now)
+        return actions
 
     def _set_alarm(self) -> None:
         due_us = self.book.deadlines.next_us()
--- a/ashcross/memory/book.py
+++ b/ashcross/memory/book.py
@@ -8,6 +8,8 @@
 from heapq import heapify, heappop, heappush
 from typing import Any, Protocol
 
+from ashcross.lifecycle.logs import seldom
+
 COMPACT_FROM = 4096  # entries of the heap before dead ones are looked for
 
 
@@ -114,7 +116,10 @@
         """Make the calls that are due."""
         while self._heap and self._heap[0][0] <= now:
             _, _, call, what = heappop(self._heap)
-            call(what)
+            try:
+                call(what)
+            except Exception as error:  # costs this one, not those behind it
+                seldom.warn("due", "fault", error)
 
 
 def _is_dead(what: Any) -> bool:
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -57,7 +57,8 @@
         self.open.clear()
 
     def close(self) -> None:
-        """End the connection at once."""
+        """End the connection at once; what else came on it is not looked at."""
+        self._ended = True
         self.transport.abortConnection()
 
     def finish(self) -> None:
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -94,6 +94,7 @@
         """End the connection; what is open on it is given up."""
         if self.up:
             self.transport.abortConnection()
+            self._end(Outcome.RESET)  # at once: nothing new may be put on it until the reactor tells
 
     # ------------------------------------------------------------- asking
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -370,6 +370,20 @@
     assert len(world.module.of(api.ClientGone)) == 1 and world.loop.counts["overdue"] == 1
 
 
+def test_whatever_fails_the_next_turn_comes(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World()
+    world.book.deadlines.add(world.now_us + 5, lambda what: print(1 / 0), None)
+    world.accept()
+    world.run(5)
+    monkeypatch.setattr(world.fleet, "take", lambda rosters: 1 / 0)
+    world.loop.roster(roster(entry("e3")))
+    world.accept("b" * 16)
+    world.run()
+    assert len(world.module.of(api.Accept)) == 2
+    world.run(1_020_000)
+    assert len(world.client.frames) == 2
+
+
 def test_a_bad_action_costs_that_one() -> None:
     world = World()
     world.module.script = lambda now, event: (
