Bound clients' connections exactly; one dial for engines and bulletin; results on sockets

With 64 descriptors and 100 connections, 40 were served where 32 are allowed: a link closed to make room stayed on the list until the reactor told, and was chosen again (clients.py, close and buildProtocol). Now it leaves the list at once. Tests as a whole process: more connections than descriptors, a client that does not read.

--- a/ashcross/wire/bulletin.py
+++ b/ashcross/wire/bulletin.py
@@ -7,15 +7,14 @@
 from typing import Any
 
 from loguru import logger
-from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from ashcross.lifecycle.logs import seldom
 from ashcross.memory.buffers import BufferPool
 from ashcross.memory.fleet import Roster
 from ashcross.wire import sse
+from ashcross.wire.dialling import dial
 from ashcross.wire.framing import FramingError
 from ashcross.wire.roster import RosterError, parse_event
 
@@ -70,17 +69,6 @@
         self._follower.lost()
 
 
-class _Dial(Factory):
-    noisy = False
-
-    def __init__(self, link: BulletinLink) -> None:
-        self._link = link
-
-    def buildProtocol(self, addr: Any) -> BulletinLink:
-        """The link itself."""
-        return self._link
-
-
 class Follower:
     """Keeps a connection to the bulletin and passes each event on once, in order."""
 
@@ -113,11 +101,9 @@
         self._later = None
         if self._stopped:
             return
-        host, port = self._address
         self._link = BulletinLink(self, self._pool, self._limits.event_bytes)
         self._began_s = self._heard_s = self._reactor.seconds()
-        endpoint = TCP4ClientEndpoint(self._reactor, host, port, timeout=self._limits.dial_s)
-        dialled: Deferred[Any] = endpoint.connect(_Dial(self._link))  # type: ignore[arg-type]
+        dialled = dial(self._reactor, self._address, self._limits.dial_s, self._link)
         dialled.addErrback(lambda reason: self.lost())
 
     def stop(self) -> None:
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -59,6 +59,7 @@
     def close(self) -> None:
         """End the connection at once; what else came on it is not looked at."""
         self._ended = True
+        self._clients.went(self)  # the reactor tells later; until then it would be chosen again to make room
         self.transport.abortConnection()
 
     def finish(self) -> None:
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -5,9 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from ashcross.gateway.interface import NoteKind, Outcome
@@ -17,6 +15,7 @@
 from ashcross.memory.buffers import BufferPool
 from ashcross.memory.fleet import EngineRecord
 from ashcross.wire import resp
+from ashcross.wire.dialling import dial
 from ashcross.wire.framing import FramingError
 
 NOTES = {"pct": NoteKind.PROGRESS, "overflow": NoteKind.SPILLS, "queued": NoteKind.WAITS}
@@ -227,19 +226,6 @@
         self._loop.probed(probe, outcome, resp.load_report(fields.get("l", "")))
 
 
-class _Dial(Factory):
-    """Makes the one protocol of a dial."""
-
-    noisy = False
-
-    def __init__(self, link: EngineLink) -> None:
-        self._link = link
-
-    def buildProtocol(self, addr: Any) -> EngineLink:
-        """The link itself."""
-        return self._link
-
-
 class Engines:
     """Puts attempts and probes on connections, and dials."""
 
@@ -277,11 +263,8 @@
             return None
         link = EngineLink(self, engine)
         engine.links.append(link)
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, engine.host, engine.port, timeout=limits.dial_timeout_us / 1e6
-        )
-        dialled: Deferred[Any] = endpoint.connect(_Dial(link))  # type: ignore[arg-type]
-        dialled.addErrback(link.dial_failed)
+        address, timeout_s = (engine.host, engine.port), limits.dial_timeout_us / 1e6
+        dial(self._reactor, address, timeout_s, link).addErrback(link.dial_failed)
         return link
 
     def close_idle(self, engine: EngineRecord) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -202,12 +202,16 @@
 def test_connections_are_bounded_and_idle_ones_make_room() -> None:
     world = ClientWorld()
     links = [world.connect() for _ in range(3)]
+    world.now_us += 1
     links[0][0].dataReceived(question(1, "a" * 16))
     world.now_us += 5
     links[1][0].dataReceived(jsonrpc.call("ping", 1, {}))
     world.run()
     world.connect()
     assert [wire.aborted for _, wire in links] == [False, False, True]
+    world.connect()  # another before the reactor told of the first
+    assert [wire.aborted for _, wire in links] == [False, True, True]
+    assert len(world.clients.links) == 3
     links[2][0].connectionLost(GONE)
     for number, link in enumerate(list(world.clients.links)):
         link.dataReceived(question(5, f"{number:016x}"))
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -66,11 +66,12 @@
 class Stage:
     """The toy fleet, one dispatcher, and a client."""
 
-    def __init__(self, folder: Path, **transport: Any) -> None:
+    def __init__(self, folder: Path, sockets: int = 1024, **transport: Any) -> None:
         path = folder / "config.json"
         self.fleet = Program(["examples/toy_fleet.py", "--free-ports", "--write-config", str(path)], "stdout")
         wait_for("the fleet", lambda: self.fleet.find("bulletin at"))
         self.config = json.loads(path.read_text(encoding="utf-8"))
+        self.config["limits"]["sockets"] = sockets
         self.config["transport"] = {"log_level": "DEBUG"} | transport
         path.write_text(json.dumps(self.config), encoding="utf-8")
         self.node = Program(["-m", "ashcross", "serve", "--config", str(path)], "stderr")
@@ -275,6 +276,49 @@
     late.close()
 
 
+def test_more_connections_than_descriptors_allow(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, sockets=64)
+    try:
+        idle = [Crowd(stage.address) for _ in range(100)]  # the longest idle make room
+        assert row_numbers(stage.ask("rows=3")) == [0, 1, 2]
+        for crowd in idle:
+            crowd.close()
+        busy = [Crowd(stage.address) for _ in range(60)]
+        served = 0
+        for crowd in busy:
+            with contextlib.suppress(OSError):
+                crowd.send(stage.question("ms=1200"))
+        assert stage.descriptors() <= 64
+        for crowd in busy:
+            with contextlib.suppress(OSError, AssertionError):
+                served += crowd.read(1)[0].result is not None
+            crowd.close()
+        assert 10 <= served <= 32
+        assert wait_for("room", lambda: stage.well())
+        assert stage.node.process.poll() is None
+    finally:
+        stage.close()
+
+
+def test_a_client_that_does_not_read_loses_its_connection_and_no_other(tmp_path: Path) -> None:
+    stage = Stage(tmp_path, unsent_bytes=200_000)
+    try:
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.settimeout(0.2)
+        slow.connect(stage.address)
+        for ident in range(1, 1000):
+            with contextlib.suppress(OSError):  # blocked, or closed by now
+                slow.sendall(stage.question("rows=900 ms=5", ident=ident))
+            if stage.node.find("answers that are not read"):
+                break
+        wait_for("the bound", lambda: stage.node.find("answers that are not read"))
+        assert row_numbers(stage.ask("rows=900")) == list(range(900))
+        slow.close()
+    finally:
+        stage.close()
+
+
 def test_the_command_line_asks_and_pings(shared: Stage, capfd: pytest.CaptureFixture[str]) -> None:
     at = f"{shared.address[0]}:{shared.address[1]}"
     assert main(["ping", "--at", at]) == 0
