--- a/ashcross/cli.py
+++ b/ashcross/cli.py
@@ -14,6 +14,7 @@
 from ashcross import __version__
 from ashcross.lifecycle import config as configuration
 from ashcross.lifecycle.checks import ConfigError
+from ashcross.lifecycle.signals import Signals
 
 
 def parser() -> argparse.ArgumentParser:
@@ -57,6 +58,9 @@
         return 0
     if asked.command in ("ask", "ping"):
         return _ask(asked)
+    signals = Signals()
+    if asked.command == "serve":
+        signals.install()  # before anything that takes time: the default of SIGHUP would end the process
     try:
         config = configuration.from_process(asked.config)
     except ConfigError as error:
@@ -71,7 +75,7 @@
     from ashcross.lifecycle import logs, service  # Twisted is loaded by who serves alone
 
     logs.start(config.transport.log_level)
-    return service.run(config)
+    return service.run(config, signals, lambda: configuration.from_process(asked.config))
 
 
 def _ask(asked: argparse.Namespace) -> int:
--- a/ashcross/lifecycle/config.py
+++ b/ashcross/lifecycle/config.py
@@ -38,9 +38,9 @@
     probe_timeout_ms: int = 250
     kill_wait_ms: int = 25  # from a KILL until the module may send the query again
     event_bytes: int = 4_194_304  # longest event of the bulletin
-    bulletin_silence_ms: int = 3_500  # a comment comes each second
+    bulletin_silence_ms: int = 2_200  # a comment comes each second; two that are missing are a stop
     bulletin_retry_ms: int = 100  # first wait before connecting again; it doubles
-    bulletin_retry_most_ms: int = 2_000
+    bulletin_retry_most_ms: int = 500
     replay_ms: int = 1_000  # how long a list asked for afresh may take to catch up
     stop_most_ms: int = 3_000  # the longest deadline that counts at a stop (PROTOCOL)
     stop_grace_ms: int = 700  # and what is added to it before the kill
@@ -66,6 +66,19 @@
     transport: Transport
 
 
+    def fixed_keys(self, fresh: Config) -> list[str]:
+        """Keys of a newer file that differ and cannot change while the program runs.
+
+        `known` and `seed` are those of a start: a difference there is as it should be.
+        """
+        keys = ("name", "listen", "sockets", "settings", "transport")
+        names = {"sockets": "limits.sockets"}
+        fixed = [names.get(key, key) for key in keys if getattr(self, key) != getattr(fresh, key)]
+        if (self.bulletin is None) != (fresh.bulletin is None):
+            fixed.append("bulletin (none before or none now)")
+        return fixed
+
+
 def load(path: str | None, environ: Mapping[str, str]) -> Config:
     """Read the file that is named, or else the one of the environment."""
     path = path or environ.get(PATH_VARIABLE)
--- a/ashcross/lifecycle/phases.py
+++ b/ashcross/lifecycle/phases.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from enum import Enum
 
 from loguru import logger
@@ -13,14 +14,16 @@
 
     STARTING = "starting"
     SERVING = "serving"
+    RELOADING = "reloading"
     DRAINING = "draining"
     STOPPED = "stopped"
 
 
 STEPS: dict[Phase, frozenset[Phase]] = {
     Phase.STARTING: frozenset((Phase.SERVING, Phase.STOPPED)),
-    Phase.SERVING: frozenset((Phase.DRAINING, Phase.STOPPED)),
-    Phase.DRAINING: frozenset((Phase.STOPPED,)),
+    Phase.SERVING: frozenset((Phase.RELOADING, Phase.DRAINING, Phase.STOPPED)),
+    Phase.RELOADING: frozenset((Phase.SERVING, Phase.DRAINING)),
+    Phase.DRAINING: frozenset((Phase.RELOADING, Phase.STOPPED)),
     Phase.STOPPED: frozenset(),
 }
 
@@ -49,6 +52,16 @@
         for tell in self._told:
             tell(phase)
 
+    @contextmanager
+    def reloading(self) -> Iterator[None]:
+        """A reload is a step of its own that leads back to the phase it came from, whatever happens in it."""
+        before = self.now
+        self.enter(Phase.RELOADING)
+        try:
+            yield
+        finally:
+            self.enter(before)
+
     @property
     def well(self) -> bool:
         """What a `ping` is answered: may the front send more?"""
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import gc
-import signal
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -14,10 +14,12 @@
 from ashcross.gateway.interface import Closing, ListKind
 from ashcross.gateway.policy import Gateway
 from ashcross.lifecycle import logs
+from ashcross.lifecycle.checks import ConfigError
 from ashcross.lifecycle.clock import Clock
 from ashcross.lifecycle.config import Config, set_descriptor_limit
 from ashcross.lifecycle.logs import seldom
 from ashcross.lifecycle.phases import Phase, Phases
+from ashcross.lifecycle.signals import Signals
 from ashcross.loop import HostLimits, Loop
 from ashcross.memory.book import Book
 from ashcross.memory.buffers import BufferPool
@@ -26,7 +28,7 @@
 from ashcross.wire.clients import ClientLimits, Clients
 from ashcross.wire.engines import EngineLimits, Engines
 
-SWEEP_S, STATS_SWEEPS = 0.5, 60
+SWEEP_S, STATS_SWEEPS = 0.25, 120
 STOP_LOOK_S = 0.05
 
 
@@ -149,6 +151,25 @@
         )
         self.loop.worst_lag_us = self.loop.worst_turn_us = 0
 
+    # --------------------------------------------------------------- reload
+
+    def reload(self, read: Callable[[], Config]) -> None:
+        """SIGHUP: read the configuration anew; what cannot be used leaves everything as it is."""
+        if self.phases.now not in (Phase.SERVING, Phase.DRAINING):
+            return
+        with self.phases.reloading():
+            try:
+                fresh = read()
+            except ConfigError as error:
+                logger.error("the new configuration is not taken: {}", error)
+                return
+            if fresh.bulletin is not None and self.follower is not None:
+                self.follower.move(fresh.bulletin)
+            fixed = self.config.fixed_keys(fresh)
+            if fixed:
+                logger.warning("only a restart changes {}; as before until then", ", ".join(fixed))
+            logger.info("configuration read anew; the bulletin is at {}", fresh.bulletin)
+
     # ----------------------------------------------------------------- stop
 
     def drain(self) -> None:
@@ -199,22 +220,26 @@
             link.finish()
 
 
-def run(config: Config, reactor: Any = default_reactor) -> int:
-    """Serve until a signal ends it."""
+def run(config: Config, signals: Signals, read: Callable[[], Config], reactor: Any = default_reactor) -> int:
+    """Serve until a signal ends it; `read` reads the configuration again when a signal asks for that."""
     set_descriptor_limit(config.sockets)
     logs.watch_twisted()
     service = Service(config, reactor)
 
-    def on_signal(number: int, frame: Any) -> None:
-        reactor.callFromThread(service.drain)
+    def on_signal() -> None:
+        stop, reload = signals.take()
+        if reload:
+            service.reload(read)
+        if stop:
+            service.drain()
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
     try:
         service.start()
     except CannotListenError as error:
         logger.error("cannot listen: {}", error)
         return 1
+    # the handlers run between any two steps of the program: the turn of events is the reactor's
+    signals.watch(lambda: reactor.callFromThread(on_signal))
     # what lives for good need not be looked at again by the collector
     gc.collect()
     gc.freeze()
--- a/ashcross/wire/bulletin.py
+++ b/ashcross/wire/bulletin.py
@@ -47,7 +47,8 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Take in events."""
-        self._follower.heard()
+        if not self._follower.heard(self):
+            return  # another connection has taken its place
         try:
             events = self._reader.feed(data)
         except FramingError as error:
@@ -60,13 +61,14 @@
                 return
 
     def close(self) -> None:
-        """End this response."""
-        self.transport.abortConnection()
+        """End this response; a dial that is under way is ended by the follower."""
+        if self.transport is not None:
+            self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """The response has ended; ask again."""
         self._reader.close()
-        self._follower.lost()
+        self._follower.lost(self)
 
 
 class Follower:
@@ -85,6 +87,7 @@
         self._pool, self._limits = pool, limits
         self.last = self._told = last
         self._link: BulletinLink | None = None
+        self._dialled: Any = None
         self._up, self._stopped, self._afresh = False, False, False
         self._began_s = self._heard_s = 0.0
         self._retry_s = limits.retry_first_s
@@ -102,18 +105,35 @@
         if self._stopped:
             return
         self._link = BulletinLink(self, self._pool, self._limits.event_bytes)
+        link = self._link
         self._began_s = self._heard_s = self._reactor.seconds()
-        dialled = dial(self._reactor, self._address, self._limits.dial_s, self._link)
-        dialled.addErrback(lambda reason: self.lost())
+        self._dialled = dial(self._reactor, self._address, self._limits.dial_s, link)
+        self._dialled.addErrback(lambda reason: self.lost(link))
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The bulletin is at another address now: ask there at once for what comes after our last event."""
+        if address == self._address or self._stopped:
+            return
+        self._address, self._retry_s = address, self._limits.retry_first_s
+        self._drop()
+        self.start()
 
     def stop(self) -> None:
         """Connect no more."""
         self._stopped = True
+        self._drop()
+
+    def _drop(self) -> None:
+        """Leave the connection, the dial or the wait that there is; nothing that it still says counts."""
+        link, self._link, self._up = self._link, None, False
+        self._held.clear()
         if self._later is not None:
             self._later.cancel()
             self._later = None
-        if self._up and self._link is not None:
-            self._link.close()
+        if self._dialled is not None:
+            self._dialled.cancel()  # nothing happens if it came through
+        if link is not None:
+            link.close()
 
     def request(self) -> bytes:
         """The call, once a connection is up."""
@@ -124,12 +144,17 @@
         self._replay_to = self._told if self._afresh else 0
         return sse.request(f"{host}:{port}", PATH, after)
 
-    def heard(self) -> None:
-        """Bytes came, if only a comment."""
+    def heard(self, link: BulletinLink) -> bool:
+        """Bytes came, if only a comment; False if they came on a connection that was left."""
+        if link is not self._link:
+            return False
         self._heard_s, self._retry_s = self._reactor.seconds(), self._limits.retry_first_s
+        return True
 
-    def lost(self) -> None:
+    def lost(self, link: BulletinLink) -> None:
         """Not connected, or no more: try again after a wait that doubles."""
+        if link is not self._link:
+            return  # it was left for another
         self._up, self._link = False, None
         self._held.clear()
         if self._stopped or self._later is not None:
--- a/examples/toy_fleet.py
+++ b/examples/toy_fleet.py
@@ -9,7 +9,8 @@
 
 `answer` is one of served, overload, crashed, silence. Commands on standard input, one a line, change the
 fleet: kill NAME, silence NAME, drain NAME, gone NAME, start NAME (again, as a new process at a new address),
-cut (the bulletin's connections), mute and unmute (the bulletin says nothing), state, quit.
+cut (the bulletin's connections), mute and unmute (the bulletin says nothing), move (the bulletin to another
+address: the old one tells nothing more, takes nobody and closes after 1.5 s), state, quit.
 """
 
 from __future__ import annotations
@@ -206,6 +207,7 @@
         self.events: list[dict[str, Any]] = []
         self.readers: set[BulletinConnection] = set()
         self.mute = False
+        self.port: Any = None
         self.tell(entries, whole=True)
 
     def buildProtocol(self, addr: Any) -> BulletinConnection:
@@ -221,6 +223,16 @@
             for reader in self.readers:
                 reader.say(self.events[-1])
 
+    def listen(self, port: int) -> str:
+        """Be found at this port, or at a free one, and no longer where it was; the address."""
+        if self.port is not None:
+            self.port.stopListening()
+            for reader in self.readers:
+                reactor.callLater(1.5, reader.transport.loseConnection)
+            self.readers.clear()
+        self.port = reactor.listenTCP(port, self, interface="127.0.0.1")
+        return f"127.0.0.1:{self.port.getHost().port}"
+
     def comment(self) -> None:
         """A comment each second keeps readers sure."""
         if not self.mute:
@@ -242,8 +254,7 @@
             engine.listen(0 if free_ports else int(entry["address"].rpartition(":")[2]))
         self.bulletin = Bulletin(entries)
         port = 0 if free_ports else int(config["bulletin"].rpartition(":")[2])
-        listening = reactor.listenTCP(port, self.bulletin, interface="127.0.0.1")
-        config["bulletin"] = f"127.0.0.1:{listening.getHost().port}"
+        config["bulletin"] = self.bulletin.listen(port)
         LoopingCall(self.bulletin.comment).start(1.0)
 
     def lineReceived(self, line: bytes) -> None:
@@ -275,6 +286,8 @@
                 reader.transport.abortConnection()
         elif word in ("mute", "unmute"):
             self.bulletin.mute = word == "mute"
+        elif word == "move":
+            return self.bulletin.listen(0)
         elif word == "state":
             state = {
                 name: {"connections": len(one.connections), **one.counts}
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -718,6 +718,36 @@
     assert wire.aborted
 
 
+def test_a_bulletin_that_moves_is_asked_at_once_and_the_old_one_counts_no_more() -> None:
+    world = BulletinWorld()
+    link, wire, _ = world.come_up()
+    link.dataReceived(event(4))
+    world.follower.move(("127.0.0.1", 8501))
+    assert wire.aborted and world.reactor.tcpClients[1][:2] == ("127.0.0.1", 8501)
+    link.dataReceived(event(5, name="stale"))
+    link.connectionLost(GONE)  # must not bring a second dial
+    assert not world.reactor.getDelayedCalls()
+    link, _, after = world.come_up()
+    assert after == 4 and world.follower.connected
+    link.dataReceived(event(5))
+    assert world.numbers() == [4, 5]
+    world.follower.move(("127.0.0.1", 8501))  # the same: nothing to do
+    assert len(world.reactor.tcpClients) == 2
+
+
+def test_a_bulletin_that_moves_during_a_wait_or_a_dial() -> None:
+    world = BulletinWorld()
+    world.refuse()
+    world.follower.move(("127.0.0.1", 8501))  # during the wait for the next dial
+    assert not world.reactor.getDelayedCalls() and len(world.reactor.tcpClients) == 2
+    world.follower.move(("127.0.0.1", 8502))  # during that dial
+    assert world.reactor.tcpClients[2][:2] == ("127.0.0.1", 8502)
+    assert not world.reactor.getDelayedCalls()
+    world.dials = 2
+    _, _, after = world.come_up()
+    assert after == 3 and world.follower.connected
+
+
 def test_a_follower_that_was_stopped_dials_no_more() -> None:
     world = BulletinWorld()
     link, wire, _ = world.come_up()
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import os
 import re
 import signal
 import socket
@@ -12,6 +13,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import IO, Any
 
@@ -74,6 +76,7 @@
         self.config["limits"]["sockets"] = sockets
         self.config["transport"] = {"log_level": "DEBUG"} | transport
         path.write_text(json.dumps(self.config), encoding="utf-8")
+        self.path = path
         self.node = Program(["-m", "ashcross", "serve", "--config", str(path)], "stderr")
         match = wait_for("the dispatcher", lambda: self.node.find(r"listens on 127\.0\.0\.1:(\d+)"))
         self.address = ("127.0.0.1", int(match.group(1)))
@@ -116,6 +119,12 @@
             return self.ask(order)
         return None
 
+    def spares(self, engine: str) -> bool:
+        """Do a few questions find their answers without this engine?"""
+        before = self.state()[engine]["PULL"]
+        served = all(self.ask("rows=3").result for _ in range(6))
+        return served and self.state()[engine]["PULL"] == before
+
     def well(self) -> Any:
         return (asking.ask(self.address, jsonrpc.call("ping", 1, {}), LONG_S).result or {}).get("well")
 
@@ -258,6 +267,67 @@
     wait_for("silence to be noticed", lambda: stage.node.find("fallen silent"))
 
 
+def test_sighup_moves_the_bulletin_and_a_bad_file_changes_nothing(stage: Stage) -> None:
+    wait_for("a reader", lambda: stage.state()["readers"] == 1)
+    for round_ in (1, 2):  # more than once
+        moved = stage.command("move")
+        stage.path.write_text(json.dumps(stage.config | {"bulletin": moved}), encoding="utf-8")
+        stage.node.process.send_signal(signal.SIGHUP)
+        wait_for("the new address", lambda: stage.state()["readers"] == 1)
+        stage.command(f"gone e{round_}")
+        gone = f"e{round_}"
+        wait_for("the news", partial(stage.spares, gone))
+    for bad, key in (
+        ("{", "wanted JSON"),
+        (json.dumps(stage.config | {"bulletin": "nowhere"}), "bulletin: wanted host:port"),
+        (json.dumps(stage.config | {"limits": {"sockets": "many"}}), r"limits\.sockets: wanted a number"),
+    ):
+        stage.path.write_text(bad, encoding="utf-8")
+        stage.node.process.send_signal(signal.SIGHUP)
+        wait_for(key, partial(stage.node.find, f"the new configuration is not taken: .*{key}"))
+        assert stage.well() is True and stage.state()["readers"] == 1
+    other = stage.config | {"bulletin": moved, "name": "other", "seed": "1", "known": {"no": 0, "items": []}}
+    stage.path.write_text(json.dumps(other), encoding="utf-8")
+    stage.node.process.send_signal(signal.SIGHUP)
+    wait_for("what cannot change", lambda: stage.node.find("only a restart changes name;"))
+    assert row_numbers(stage.ask("rows=3")) == [0, 1, 2]
+
+
+def test_a_signal_that_comes_during_the_start_is_not_the_end(tmp_path: Path) -> None:
+    stage = Stage(tmp_path)
+    try:
+        # a configuration that takes a while to be read, so that the signals come before anything listens
+        os.mkfifo(tmp_path / "slow.json")
+        node = Program(["-m", "ashcross", "serve", "--config", str(tmp_path / "slow.json")], "stderr")
+        with open(tmp_path / "slow.json", "w", encoding="utf-8") as file:  # opens once the program reads
+            node.process.send_signal(signal.SIGHUP)
+            time.sleep(0.1)
+            file.write(json.dumps(stage.config))
+            (tmp_path / "next.json").write_text(json.dumps(stage.config), encoding="utf-8")
+            os.replace(tmp_path / "next.json", tmp_path / "slow.json")
+        wait_for("the reload that was asked for", lambda: node.find("reloading -> serving"))
+        assert node.process.poll() is None
+        node.process.send_signal(signal.SIGTERM)
+        assert node.process.wait(LONG_S) == 0
+        node.close()
+    finally:
+        stage.close()
+
+
+def test_sighup_in_a_drain_neither_ends_nor_revives_it(stage: Stage) -> None:
+    crowd = Crowd(stage.address)
+    crowd.send(stage.question("ms=1200 rows=4"))
+    wait_for("the pull", lambda: sum(stage.state()[e]["PULL"] for e in ("e1", "e2", "e3")) >= 1)
+    stage.node.process.send_signal(signal.SIGTERM)
+    wait_for("the drain", lambda: stage.node.find("serving -> draining"))
+    stage.node.process.send_signal(signal.SIGHUP)
+    wait_for("the reload", lambda: stage.node.find("reloading -> draining"))
+    assert stage.well() is False
+    assert row_numbers(crowd.read(1)[0]) == [0, 1, 2, 3]
+    assert stage.node.process.wait(LONG_S) == 0
+    crowd.close()
+
+
 def test_sigterm_in_traffic_loses_nothing(stage: Stage) -> None:
     crowd = Crowd(stage.address)
     crowd.send(*(stage.question("ms=900", ident=n + 1) for n in range(8)))
