A burst of connections no longer pushes out those that were not read yet

Room was made by silent connections before rested ones, however young they were: once rested ones filled the cap, the newest connection was the only silent one, and went before its call was read. The test fails on the text before.

--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -18,6 +18,9 @@
 from ashcross.wire.statement import group_of_tables
 
 
+FRESH_LOOKS = 2  # sweeps that a connection has seen once it could have been read for sure
+
+
 @dataclass(frozen=True, slots=True)
 class ClientLimits:
     """Bounds of the clients' side."""
@@ -46,7 +49,7 @@
         self.unsent, self._paused, self._ended = 0, False, False
         self.parting = False  # reads nothing more, and is closed once nothing is open on it
         self.calls = self.strikes = 0
-        self._calls_seen = self._looks = 0
+        self._calls_seen = self.looks = 0
         self.used_us = clients.loop.clock()
 
     def connectionMade(self) -> None:
@@ -218,13 +221,13 @@
     def look(self, now: int) -> None:
         """Called by each sweep: a connection that says nothing, stops half-way or rests for long is ended."""
         if self.open or self._ended or self.parting:
-            self._looks = 0
+            self.looks = 0
             return
-        self._looks = self._looks + 1 if self.calls == self._calls_seen else 0
+        self.looks = self.looks + 1 if self.calls == self._calls_seen else 0
         self._calls_seen = self.calls
         limits = self._clients.limits
         # looks are counted, not time: if this process stood still, a whole call may lie there unread
-        mute = self._looks >= limits.silent_looks and (not self.calls or self.reader.waiting)
+        mute = self.looks >= limits.silent_looks and (not self.calls or self.reader.waiting)
         if mute or now - self.used_us >= limits.idle_us:
             self.finish()
 
@@ -259,16 +262,23 @@
         return ClientLink(self)
 
     def _dispensable(self) -> ClientLink | None:
-        """Who makes room: rude clients first, then the silent, then who has rested for longest."""
-        silent = rested = None
+        """Who makes room: rude clients first, then the silent, then who has rested for longest.
+
+        Of a fresh connection nothing is known: its call may not have been read yet. It goes last.
+        """
+        silent = rested = fresh = None
         for link in self.links:
             if link.strikes:
                 return link
-            if not link.open and not link.calls:
-                silent = silent or link
-            elif not link.open:
+            if link.open:
+                continue
+            if link.calls:
                 rested = rested or link
-        return silent or rested
+            elif link.looks >= FRESH_LOOKS:
+                silent = silent or link
+            else:
+                fresh = fresh or link
+        return silent or rested or fresh
 
     def came(self, link: ClientLink) -> None:
         """Count a connection in."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -251,11 +251,30 @@
     assert usual_wire.lost and not busy_wire.lost
 
 
+def test_a_burst_of_connections_does_not_push_out_those_that_were_not_read_yet() -> None:
+    world = ClientWorld(connections=3, silent_looks=9)
+    rested = [world.connect() for _ in range(2)]
+    for link, _ in rested:
+        link.dataReceived(jsonrpc.call("ping", 1, {}))
+    fresh, fresh_wire = world.connect()
+    _, newer_wire = world.connect()
+    assert rested[0][1].lost and not fresh_wire.lost
+    world.clients.sweep()
+    fresh.dataReceived(question())  # its call was under way
+    world.run()
+    assert len(world.module.of(api.Accept)) == 1
+    world.clients.sweep()
+    world.connect()  # by now the other is known to be silent, and goes before one that has asked
+    assert newer_wire.lost and not rested[1][1].lost
+
+
 def test_room_is_made_by_the_rude_then_the_silent_then_the_rested() -> None:
     world = ClientWorld(connections=4)
     usual, usual_wire = world.connect()
     usual.dataReceived(jsonrpc.call("ping", 1, {}))
     _, silent_wire = world.connect()
+    world.clients.sweep()
+    world.clients.sweep()
     busy, busy_wire = world.connect()
     busy.dataReceived(question(1))
     rude, rude_wire = world.connect()
