--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -17,7 +17,6 @@
 from ashcross.wire.framing import FramingError
 from ashcross.wire.statement import group_of_tables
 
-
 FRESH_LOOKS = 2  # sweeps that a connection has seen once it could have been read for sure
 
 
@@ -164,6 +163,7 @@
         try:
             self._called(body, arrived_us)
             self.calls += 1
+            self._clients.silent.pop(self, None)
         except jsonrpc.CallError as error:
             self._unusable(error)
             if error.ident is None or self.strikes >= self._clients.limits.strikes:
@@ -175,11 +175,16 @@
     def _unusable(self, error: jsonrpc.CallError) -> None:
         """The error goes out at once; under no id where the call cannot be named without doubt."""
         seldom.warn("client", f"a call cannot be used: {error}")
-        self.strikes += 1
+        self._strike()
         # an error under an id that is open would be the answer of the request that has it
         ident = None if error.ident in self.open else error.ident
         self._write(jsonrpc.error(ident, error.code, str(error)))
 
+    def _strike(self) -> None:
+        self.strikes += 1
+        if self in self._clients.links:
+            self._clients.rude[self] = None
+
     def _called(self, body: bytes, arrived_us: int) -> None:
         call = jsonrpc.parse_call(body)
         if call.method == "abort":
@@ -211,7 +216,8 @@
         crowded = len(self.open) >= self._clients.limits.open_per_connection
         if crowded or book.full(len(query.statement)):
             self._write(jsonrpc.refusal(ident, 0))  # before the module: it never ran
-            self.strikes += crowded  # no usual client asks for so many at once
+            if crowded:  # no usual client asks for so many at once
+                self._strike()
             if self.strikes >= self._clients.limits.strikes:
                 self.part()
             return
@@ -249,6 +255,8 @@
         self.later = reactor.callLater
         self.loop, self.phases, self.known, self.pool, self.limits = loop, phases, known, pool, limits
         self.links: dict[ClientLink, None] = {}  # that used longest ago first
+        self.silent: dict[ClientLink, None] = {}  # those without a whole call, that came first first
+        self.rude: dict[ClientLink, None] = {}  # those with strikes
         self.unsent = 0
 
     def buildProtocol(self, addr: Any) -> ClientLink | None:
@@ -266,23 +274,16 @@
 
         Of a fresh connection nothing is known: its call may not have been read yet. It goes last.
         """
-        silent = rested = fresh = None
-        for link in self.links:
-            if link.strikes:
-                return link
-            if link.open:
-                continue
-            if link.calls:
-                rested = rested or link
-            elif link.looks >= FRESH_LOOKS:
-                silent = silent or link
-            else:
-                fresh = fresh or link
-        return silent or rested or fresh
+        if self.rude:
+            return next(iter(self.rude))
+        oldest = next(iter(self.silent), None)
+        if oldest is not None and oldest.looks >= FRESH_LOOKS:
+            return oldest
+        return next((link for link in self.links if link.calls and not link.open), oldest)
 
     def came(self, link: ClientLink) -> None:
         """Count a connection in."""
-        self.links[link] = None
+        self.links[link] = self.silent[link] = None
 
     def used(self, link: ClientLink) -> None:
         """Something went over it now."""
@@ -293,7 +294,8 @@
 
     def went(self, link: ClientLink) -> None:
         """And out."""
-        self.links.pop(link, None)
+        for group in (self.links, self.silent, self.rude):
+            group.pop(link, None)
         self.unsent -= link.unsent
         link.unsent = 0
 
