--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -29,7 +29,7 @@
 HEALTH_TICKS = 4  # ticks between looks at all engines
 CLIP = 4.0  # most that one attempt, slow or failed, says about slowness: bad plans are not the engine's doing
 SUSPECT, TRUST = 1.8, 1.3  # slowness against the median engine for trials only, and for full use again
-PRIOR, PROOF = 3.0, 2.0  # belief that an engine is sound, in attempts; threads for each good one since
+PRIOR = 3.0  # weight of the belief that an engine is sound, in attempts
 TRIAL_FIRST, TRIAL_MOST = 10, 100  # gap before the first trial and the longest, in ticks
 KILL, SPREAD = 3.0, 3.0  # times its expected time, and mean deviations of logs, to call an attempt off
 KILLS = 2  # most attempts of one request called off: after that its cost is taken as its own
@@ -143,8 +143,8 @@
         """May the engine take this query under its level?"""
         capacity, threads = self._capacity(engine, now), request.kind.threads
         level = self.level * capacity
-        if engine.suspect or engine.threads + threads > engine.proof:  # bounded trials, then step by step
-            return engine.suspect and not engine.threads and now >= engine.trial_us and threads == self.narrow
+        if engine.suspect:  # a bounded trial: one narrow query at a time, at growing gaps
+            return not engine.threads and now >= engine.trial_us and threads == self.narrow
         # what reports show idle is anyone's, memory too if they tell of it: shares alone would strand it
         idle, room_mb = max(0.0, UTIL_HIGH - engine.load) * self.heard, engine.size_mb * self.share
         part = UTIL_HIGH + idle / self.share * ("x0" in self.s.report_fields)
@@ -186,7 +186,6 @@
 
     def _evidence(self, engine: Engine, ratio: float) -> None:
         """Count one attempt, its time over what was expected; a trial's outcome replaces the belief."""
-        engine.proof += PROOF * (ratio < CLIP)
         engine.expected = PRIOR if engine.suspect else engine.expected + 1
         engine.spent = PRIOR * min(ratio, CLIP) if engine.suspect else engine.spent + min(ratio, CLIP)
 
@@ -227,7 +226,7 @@
                 engine.suspect, engine.gap_us, engine.trial_us = True, first_us, now + first_us
                 self.actions.append(api.Log(f"suspect {engine.entry.engine} slowness {engine.rel:.1f}"))
             elif engine.suspect and engine.rel < TRUST:
-                engine.suspect, engine.proof = False, PROOF * self.narrow
+                engine.suspect = False
                 self.actions.append(api.Log(f"trusted {engine.entry.engine}"))
 
     def _run_us(self, request: Request) -> float:
--- a/ashcross/gateway/state.py
+++ b/ashcross/gateway/state.py
@@ -98,7 +98,6 @@
     slow: float = 1.0  # spent over expected
     rel: float = 1.0  # the same against the typical engine
     suspect: bool = False
-    proof: float = inf  # most threads of ours since it was trusted again
     trial_us: int = 0
     gap_us: int = 0
     cpu: float = 0.0  # of its last report: busy cores, and its load
