--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -75,7 +75,6 @@
         self.popular = Shares(SEEN)  # of groups of tables in the queries
         self.pool, self.pool_mb, self.memory_mb = 0.0, 0.0, 0.0  # our shares of all engines; our needs out
         self.credit_us, self.health_us = 0.0, LONG_AGO  # threads' time earned and not spent
-        self.blocked, self.pumped_us = 0, LONG_AGO  # classes that found no engine, and when that was
         self.heard, self.probes, self.strain = 0.0, 0.0, 0.0  # reports' weight; earned; log of pace
         self.actions: list[api.Action] = []
 
@@ -260,7 +259,7 @@
         self._hold(request, max(0.0, request.aim_us - now - self._run_us(request)), now)
         if event.left_us <= 2 * (self.tick_us + self.s.step_us):
             self._end(request, now)  # no tick may come before its deadline
-        self._pump(now, room=False)  # a storm taken in one turn looks for engines once, not once for each
+        self._pump(now)
 
     def _hold(self, request: Request, slack_us: float, now: int) -> None:
         request.queued, request.hold_us = True, now + int(HOLD * slack_us)
@@ -268,9 +267,9 @@
         order = request.aim_us if request.regular else self.random.random()
         heappush(self.queue, (not request.regular, order, self.serial, request))
 
-    def _pump(self, now: int, room: bool = True) -> None:
+    def _pump(self, now: int) -> None:
         """Start what can be: regular queries by earliest deadline, then the reserve at random."""
-        kept, blocked = [], 0 if room or now > self.pumped_us else self.blocked
+        kept, blocked = [], 0
         while self.queue and blocked != (1 << len(self.classes)) - 1:
             item = heappop(self.queue)
             request, bit = item[3], 1 << item[3].event.class_index
@@ -283,7 +282,7 @@
             kept.append(item)
             if not request.attempts and self._in_turn(request, now):
                 blocked |= bit  # the next of its class would find no engine either: bounds a storm's CPU
-        self.queue, self.blocked, self.pumped_us = sorted(kept + self.queue), blocked, now
+        self.queue = sorted(kept + self.queue)
 
     def _in_turn(self, request: Request, now: int) -> bool:
         """Rule 5: first of its key, and the key at rest."""
