Give a dispatcher its clock and reactor; importing the service makes no reactor any more

Need: the network code is to run on a virtual clock and network (the lab). Three places read the machine past the constructor: Service made its own Clock, importing the service installed the system's reactor, and the limit on log lines read the monotonic clock of the machine. Change: Service takes a clock, Clock takes its two sources, run() imports the reactor, Seldom can follow another clock and pass warnings on. Nothing else moves.

--- a/ashcross/lifecycle/clock.py
+++ b/ashcross/lifecycle/clock.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 
 class Clock:
-    """Never goes back, whatever is done to the system's time after the start."""
+    """Never goes back, whatever is done to the system's time after the start.
 
-    __slots__ = ("_offset_us",)
+    `unix_ns` is read once; `monotonic_ns` at each call. Both return nanoseconds.
+    """
 
-    def __init__(self) -> None:
-        self._offset_us = (time.time_ns() - time.monotonic_ns()) // 1000
+    __slots__ = ("_monotonic_ns", "_offset_us")
+
+    def __init__(
+        self,
+        unix_ns: Callable[[], int] = time.time_ns,
+        monotonic_ns: Callable[[], int] = time.monotonic_ns,
+    ) -> None:
+        self._monotonic_ns = monotonic_ns
+        self._offset_us = (unix_ns() - monotonic_ns()) // 1000
 
     def __call__(self) -> int:
         """Now, in microseconds of Unix time."""
-        return self._offset_us + time.monotonic_ns() // 1000
+        return self._offset_us + self._monotonic_ns() // 1000
--- a/ashcross/lifecycle/logs.py
+++ b/ashcross/lifecycle/logs.py
@@ -39,11 +39,24 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic, gap_s: float = GAP_S) -> None:
         self._clock, self._gap_s = clock, gap_s
+        self._heard: Callable[[str, str, BaseException | None], None] | None = None
         self._next_s: dict[str, float] = {}
         self._kept: dict[str, int] = {}
 
+    def follow(
+        self,
+        clock: Callable[[], float],
+        heard: Callable[[str, str, BaseException | None], None] | None = None,
+    ) -> None:
+        """Go by another clock (s) from now on, and pass each warning on before its topic's limit counts."""
+        self._clock, self._heard = clock, heard
+        self._next_s.clear()
+        self._kept.clear()
+
     def warn(self, topic: str, text: str, error: BaseException | None = None) -> None:
         """A warning on a topic; topics are few and fixed. An error brings its traceback."""
+        if self._heard is not None:
+            self._heard(topic, text, error)
         now_s = self._clock()
         if now_s < self._next_s.get(topic, now_s):
             self._kept[topic] = self._kept.get(topic, 0) + 1
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from loguru import logger
-from twisted.internet import reactor as default_reactor
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
@@ -39,13 +38,13 @@
 
 
 class Service:
-    """One dispatcher."""
+    """One dispatcher, on the reactor and the clock (microseconds of Unix time) that it is given."""
 
-    def __init__(self, config: Config, reactor: Any = default_reactor) -> None:
+    def __init__(self, config: Config, reactor: Any, clock: Callable[[], int] | None = None) -> None:
         self.config, self._reactor = config, reactor
         t, host = config.transport, config.host
         bounds = config.bounds
-        self.phases, self.clock = Phases(), Clock()
+        self.phases, self.clock = Phases(), clock or Clock()
         self.pool = BufferPool(t.buffer_bytes, bounds.spare_buffers)
         self.book = Book(bounds.requests, bounds.statements_bytes)
         self.fleet = Fleet()
@@ -240,8 +239,11 @@
             link.finish()
 
 
-def run(config: Config, signals: Signals, read: Callable[[], Config], reactor: Any = default_reactor) -> int:
+def run(config: Config, signals: Signals, read: Callable[[], Config]) -> int:
     """Serve until a signal ends it; `read` reads the configuration again when a signal asks for that."""
+    from twisted.internet import reactor as default_reactor  # the import alone makes the system's reactor
+
+    reactor: Any = default_reactor
     set_descriptor_limit(config.sockets)
     logs.watch_twisted()
     service = Service(config, reactor)
