Keep queries that lie unsent here from going out late, and accept 8 connections from the first

An engine link now counts what the kernel has taken (a pull producer tells of each flush): stuck for 20 ms it takes nothing new; a query that may still lie here and is given up, or whose engine drains, ends the connection. The number is set at listening and after each round.

--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -125,7 +125,7 @@
         self.loop.turn()
         host, port = self.config.listen
         self._port = self._reactor.listenTCP(port, self.clients, backlog=512, interface=host)
-        self.clients.port = self._port
+        self.clients.listens(self._port)
         if self.follower is not None:
             self.follower.start()
         self._sweeper.start(SWEEP_S, now=False).addErrback(
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -44,6 +44,9 @@
     def close_idle(self, engine: EngineRecord) -> None:
         """Close connections on which nothing is open."""
 
+    def drained(self) -> None:
+        """The list has changed: nothing that is not sent yet may still go to who is not ready any more."""
+
 
 @dataclass(frozen=True, slots=True)
 class HostLimits:
@@ -258,6 +261,8 @@
         if rosters:
             try:
                 ready.insert(0, self.fleet.take(rosters))
+                if self.engines is not None:
+                    self.engines.drained()
             except Exception as error:  # what else is ready must not be lost with it
                 seldom.warn("fleet", "news of the engines cannot be taken in", error)
         if self.closing and self.book.open:
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -261,12 +261,14 @@
         self.silent: dict[ClientLink, None] = {}  # those without a whole call, that came first first
         self.rude: dict[ClientLink, None] = {}  # those with strikes
         self.unsent = 0
-        self.port: Any = None
+        self._port: Any = None
+        self._accepting = False
 
     def buildProtocol(self, addr: Any) -> ClientLink | None:
         """A link, unless all connections are in use by requests of clients that keep to the form."""
-        if self.port is not None:  # Twisted takes ever more at once in a flood, faster than those that make
-            self.port.numberAccepts = self.limits.accepts  # room can be closed: descriptors would run out
+        if not self._accepting:
+            self._accepting = True
+            self.later(0, self._accepted)
         if len(self.links) >= self.limits.connections:
             leaves = self._dispensable()
             if leaves is None:
@@ -275,6 +277,21 @@
             leaves.give_way()
         return ClientLink(self)
 
+    def listens(self, port: Any) -> None:
+        """Connections come from this port, a few at once.
+
+        Twisted begins with 100 and takes ever more in a flood, faster than those that make room can be closed:
+        descriptors would run out.
+        """
+        self._port = port
+        port.numberAccepts = self.limits.accepts
+
+    def _accepted(self) -> None:
+        """A round of accepts is over, and Twisted has set another number for the next."""
+        self._accepting = False
+        if self._port is not None:
+            self._port.numberAccepts = self.limits.accepts
+
     def _dispensable(self) -> ClientLink | None:
         """Who makes room: rude clients first, then the silent, then who has rested for longest.
 
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -35,6 +35,7 @@
     answer_bytes: int
     bulk_bytes: int
     stalled_looks: int = 3  # sweeps that find the same answer begun and not ended
+    stuck_us: int = 20_000  # after which what was written and not taken by the kernel counts as stuck
 
 
 class Spoilt(ValueError):
@@ -54,6 +55,8 @@
         self.alone = False  # carries one attempt whose request has lost connections before, and no other
         self.heard_us = self._loop.clock()
         self._answers = self._answers_seen = self._stalled = self._mute = 0
+        self._written = self._flushed = 0  # bytes handed to the transport, and by it to the kernel for sure
+        self._unsent_us = 0  # since when some are with the transport
         self.open: dict[str, AttemptRecord] = {}
         self.probes: dict[str, ProbeRecord] = {}
         self.used_us = self._loop.clock()
@@ -63,6 +66,7 @@
     def connectionMade(self) -> None:
         """The dial has come through: write what waited for it and is still wanted."""
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, False)  # told whenever all that was written is with the kernel
         self.up, self.used_us = True, self._loop.clock()
         self.heard_us = self.used_us
         for attempt in list(self.open.values()):
@@ -104,7 +108,24 @@
     def takes(self, alone: bool) -> bool:
         """May one more attempt be put here? One that goes alone wants nothing else on the connection."""
         most = 1 if alone else self._engines.limits.multiplex
-        return not self.doubted and not self.alone and len(self.open) < most
+        return not self.doubted and not self.alone and not self.stuck() and len(self.open) < most
+
+    # ------------------------------------------------------ what is not sent
+
+    def resumeProducing(self) -> None:
+        """The kernel has taken everything."""
+        self._flushed, self._unsent_us = self._written, 0
+
+    def stopProducing(self) -> None:
+        """The connection ends."""
+
+    def unsent(self) -> bool:
+        """Does something that was written still lie in this process?"""
+        return self._flushed < self._written
+
+    def stuck(self) -> bool:
+        """And has it for long? The engine reads nothing, or is cut off: what it gets later may come too late."""
+        return self.unsent() and self._loop.clock() - self._unsent_us > self._engines.limits.stuck_us
 
     def look(self) -> None:
         """Called by each sweep. Looks are counted, not time: while we stand still bytes lie there unread."""
@@ -139,7 +160,11 @@
 
     def _write(self, *words: bytes) -> None:
         self.used_us = self._loop.clock()
-        self.transport.write(resp.encode(*words))
+        if not self.unsent():
+            self._unsent_us = self.used_us
+        data = resp.encode(*words)
+        self._written += len(data)
+        self.transport.write(data)
 
     def _ask(self, attempt: AttemptRecord) -> None:
         request = attempt.request
@@ -149,7 +174,7 @@
             pairs["op"] = request.unique
         if request.priority is not None:
             pairs["band"] = str(request.priority)
-        attempt.stage = Stage.ASKED
+        attempt.stage, attempt.at_byte = Stage.ASKED, self._written
         self._write(b"PULL", request.txn.encode(), resp.join_fields(pairs), request.statement)
 
     def give_up(self, attempt: AttemptRecord) -> None:
@@ -160,6 +185,10 @@
         self.alone = self.alone and bool(self.open)
         if not self.up or attempt.stage is Stage.DIALLING or attempt.ended:
             return
+        if attempt.at_byte >= self._flushed and self.stuck():
+            # its query may still lie here, and would go out after its answer or past a drain
+            self._spoilt("takes nothing in, and a query that may not have been sent is given up")
+            return
         ident = attempt.request.txn.encode()
         self._write(b"DISCARD" if attempt.stage is Stage.PAGES else b"KILL", ident)
 
@@ -321,6 +350,14 @@
         dial(self._reactor, address, timeout_s, link).addErrback(link.dial_failed)
         return link
 
+    def drained(self) -> None:
+        """News of the engines: what still lies here for one that takes nothing new must not go out."""
+        for record in self.loop.fleet.records():
+            if not record.ready:
+                for link in list(record.links):
+                    if link.up and link.unsent():
+                        link.close()
+
     def close_idle(self, engine: EngineRecord) -> None:
         """Close connections on which nothing is open."""
         for link in list(engine.links):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -36,9 +36,13 @@
 
     def __init__(self) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
-        self.aborted = False
+        self.aborted = self.lost = False
+        self.takes = True  # the kernel takes all that is written, at once
 
-        self.lost = False
+    def write(self, data: bytes) -> None:
+        super().write(data)  # type: ignore[no-untyped-call]
+        if self.takes and self.producer is not None and not self.streaming:
+            self.producer.resumeProducing()
 
     def loseConnection(self) -> None:
         self.lost = True
@@ -281,10 +285,13 @@
 
 
 def test_a_flood_does_not_raise_how_many_are_taken_at_once() -> None:
-    world = ClientWorld()
-    world.clients.port = SimpleNamespace(numberAccepts=108)
+    world, port = ClientWorld(), SimpleNamespace(numberAccepts=100)
+    world.clients.listens(port)  # seed 781 of the lab: the first round took 100 at once, of 96 descriptors
+    assert port.numberAccepts == 8
     world.connect()
-    assert world.clients.port.numberAccepts == 8
+    port.numberAccepts = 28  # what Twisted makes of a round that took 8
+    world.reactor.advance(0)  # before the sockets are looked at again
+    assert port.numberAccepts == 8
 
 
 def test_room_is_made_by_the_rude_then_the_silent_then_the_rested() -> None:
@@ -450,6 +457,56 @@
     assert (host, port, timeout) == ("127.0.0.1", 1, 0.25)
 
 
+def test_a_connection_that_takes_nothing_in_gets_nothing_new() -> None:
+    world = EngineWorld()
+    link, wire = world.started()
+    wire.takes = False
+    link.boost(next(iter(link.open.values())), 3)
+    assert link.unsent() and not link.stuck() and link.takes(False)
+    world.now_us += 30_000
+    assert link.stuck() and not link.takes(False)
+    link.resumeProducing()  # the kernel has taken it after all
+    assert not link.unsent() and link.takes(False)
+
+
+def test_a_query_that_still_lies_here_does_not_go_out_after_its_answer() -> None:
+    """Seed 2460 of the lab: an engine that reads nothing got a query 95 ms after that was refused."""
+    world = EngineWorld()
+    world.sends("e1")
+    world.accept()
+    world.run()
+    (link,) = world.links()
+    wire = Wire()
+    wire.takes = False
+    link.makeConnection(wire)  # type: ignore[no-untyped-call]
+    world.now_us += 30_000
+    world.loop.settle(world.book.requests[TXN].attempts[0], Outcome.CANCELLED)
+    assert wire.aborted and b"KILL" not in wire.taken()
+
+
+def test_a_query_that_has_been_sent_is_given_up_by_a_word_even_if_that_is_stuck() -> None:
+    world = EngineWorld()
+    link, wire = world.started()
+    wire.takes = False
+    link.boost(next(iter(link.open.values())), 3)
+    world.now_us += 30_000
+    world.loop.settle(world.book.requests[TXN].attempts[0], Outcome.CANCELLED)
+    assert not wire.aborted and words(wire)[-1] == [b"KILL", ID]
+
+
+def test_what_still_lies_here_does_not_go_out_after_a_drain() -> None:
+    world = EngineWorld()
+    link, wire = world.started()
+    wire.takes = False
+    link.boost(next(iter(link.open.values())), 3)
+    world.loop.roster(roster(entry("e2")))
+    world.run()
+    assert not wire.aborted  # news of another engine
+    world.loop.roster(roster(entry("e1", mode=api.Mode.DRAINING)))
+    world.run()
+    assert wire.aborted
+
+
 def test_key_and_priority_go_with_it() -> None:
     world = EngineWorld()
     world.module.script = lambda now, event: (
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -78,6 +78,9 @@
     def close_idle(self, engine: EngineRecord) -> None:
         self.closed.append(engine.name)
 
+    def drained(self) -> None:
+        pass
+
 
 class World:
     """A loop whose clock and calls are the test's."""
