--- a/ashcross/cli.py
+++ b/ashcross/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check-config, ask, ping, version.
+"""The command line: serve, check-config, ask, ping, lab, version.
 
 Exit codes: 0 done or served, 1 cannot serve, 2 bad arguments or configuration; `ask` and `ping` further
 3 refused or ill, 4 failed, 5 no answer.
@@ -46,13 +46,19 @@
         command.add_argument(
             "--at", metavar="HOST:PORT", default="127.0.0.1:8080", help="default %(default)s"
         )
+    commands.add_parser("lab", help="run the network code against faults from seeds (lab --help)")
     commands.add_parser("version", help="print the version")
     return top
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one command; its exit code."""
-    asked = parser().parse_args(arguments)
+    given = sys.argv[1:] if arguments is None else list(arguments)
+    if given[:1] == ["lab"]:
+        from ashcross.lab import commands  # its libraries are extras: imported by who asks for it alone
+
+        return commands.main(given[1:])
+    asked = parser().parse_args(given)
     if asked.command == "version":
         print(f"ashcross {__version__}")
         return 0
--- /dev/null
+++ b/ashcross/lab/commands.py
@@ -0,0 +1,287 @@
+"""`python -m ashcross lab ...`: run, show, replay, shrink, mutants, coverage, report.
+
+Exit codes: 0 all holds, 1 a rule broke (or a mutant was missed, or a kind of fault never bit), 2 bad input.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import re
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from ashcross.lab import coverage, mutants, runner, shrink, world
+from ashcross.lab.script import Script, ScriptError, draw, encode, load
+from ashcross.lab.world import Result
+
+EXAMPLES = """examples:
+  python -m ashcross lab run --seeds 0:10000 --jobs 8
+  python -m ashcross lab show 4711
+  python -m ashcross lab shrink 4711 -o tests/scripts/late-after-a-pause.json
+  python -m ashcross lab replay tests/scripts/late-after-a-pause.json
+  python -m ashcross lab mutants --seeds 0:300
+  python -m ashcross lab coverage --seeds 0:1000
+  python -m ashcross lab report 4711 -o out.svg
+"""
+
+
+class Bad(ValueError):
+    """Input that cannot be used: exit code 2."""
+
+
+def parser() -> argparse.ArgumentParser:
+    """All sub-commands."""
+    top = argparse.ArgumentParser(
+        prog="ashcross lab",
+        description="The network code on a virtual clock, against faults from seeds, judged by the rules.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
+
+    def command(name: str, what: str) -> argparse.ArgumentParser:
+        made = commands.add_parser(name, help=what, description=what)
+        made.add_argument("--json", action="store_true", help="print JSON")
+        return made
+
+    def seeds(made: argparse.ArgumentParser, default: str) -> None:
+        made.add_argument(
+            "--seeds", default=default, metavar="A:B", help="seeds A to B - 1 (default %(default)s)"
+        )
+        made.add_argument(
+            "--jobs", type=int, default=os.cpu_count() or 1, help="processes (default %(default)s)"
+        )
+
+    run = command("run", "run seeds and judge them")
+    seeds(run, "0:1000")
+    run.add_argument("--mutant", default="", help="with this defect in the program")
+    show = command("show", "a readable timeline of one seed or script")
+    replay = command("replay", "run one seed or script and judge it")
+    shrinker = command("shrink", "find the smallest script that breaks the same rule")
+    report = command("report", "plot service, refusals and latency of one seed or script, faults marked")
+    for made in (show, replay, shrinker, report):
+        made.add_argument("what", metavar="SEED|FILE")
+    for made in (show, replay, shrinker):
+        made.add_argument("--mutant", default="", help="with this defect in the program")
+    shrinker.add_argument("-o", "--output", type=Path, required=True, metavar="FILE")
+    shrinker.add_argument(
+        "--rule", default="", help="the rule to keep broken (default: the first that breaks)"
+    )
+    shrinker.add_argument("--budget-s", type=float, default=60.0, help="time to spend (default %(default)g)")
+    report.add_argument("-o", "--output", type=Path, required=True, metavar="FILE.svg")
+    mutant = command("mutants", "put each known defect into the program and see whether it is found")
+    seeds(mutant, "0:400")
+    mutant.add_argument("--only", default="", help="one mutant alone")
+    cover = command("coverage", "how often each kind of fault met each stage of a request's life")
+    seeds(cover, "0:1000")
+    return top
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command; its exit code."""
+    asked = parser().parse_args(arguments)
+    try:
+        return int(globals()[f"_{asked.command}"](asked))
+    except (Bad, ScriptError) as error:
+        print(f"ashcross lab: {error}", file=sys.stderr)
+        return 2
+
+
+def _seed_range(text: str) -> range:
+    match = re.fullmatch(r"(\d+):(\d+)", text)
+    if match is None or int(match.group(1)) >= int(match.group(2)):
+        raise Bad(f"--seeds: wanted A:B with A under B, found {text!r}")
+    return range(int(match.group(1)), int(match.group(2)))
+
+
+def _jobs(asked: argparse.Namespace) -> int:
+    if not 1 <= asked.jobs <= 256:
+        raise Bad(f"--jobs: wanted 1 to 256, found {asked.jobs}")
+    return int(asked.jobs)
+
+
+def _mutant(asked: argparse.Namespace) -> str:
+    if asked.mutant and asked.mutant not in mutants.MUTANTS:
+        raise Bad(f"--mutant: wanted one of {', '.join(sorted(mutants.MUTANTS))}, found {asked.mutant!r}")
+    return str(asked.mutant)
+
+
+def _script(what: str) -> Script:
+    if what.isdigit():
+        return draw(int(what))
+    return load(Path(what))
+
+
+def _run(asked: argparse.Namespace) -> int:
+    seeds, jobs, mutant = _seed_range(asked.seeds), _jobs(asked), _mutant(asked)
+    with _progress(len(seeds), asked.json) as told:
+        summary = runner.run_many(seeds, jobs, mutant, told)
+    if asked.json:
+        print(json.dumps(_as_json(summary)))
+    else:
+        for seed, texts in sorted(summary.broken.items()):
+            print(f"seed {seed}: {texts[0]}" + (f" (and {len(texts) - 1} more)" if len(texts) > 1 else ""))
+        for seed, error in sorted(summary.errors.items()):
+            print(f"seed {seed} ended in an error:\n{error}")
+        if summary.rules:
+            print(
+                "rules broken, by seeds: "
+                + ", ".join(f"{rule} {n}" for rule, n in summary.rules.most_common())
+            )
+        if summary.seeds:
+            means = (summary.requests, summary.faults, summary.virtual_s)
+            of = "{:.1f} requests, {:.1f} faults, {:.1f} virtual seconds".format(
+                *(m / summary.seeds for m in means)
+            )
+            print(f"a seed has {of} on average; {summary.several} seeds with two dispatchers or more")
+        print(summary.line())
+    return 1 if summary.bad else 0
+
+
+def _as_json(summary: runner.Summary) -> dict[str, Any]:
+    return {
+        "seeds": summary.seeds, "broken": summary.bad, "requests": summary.requests, "faults": summary.faults,
+        "virtual_s": round(summary.virtual_s, 3), "wall_s": round(summary.wall_s, 3),
+        "digest": summary.digest(),
+        "several_dispatchers": summary.several, "rules": dict(summary.rules), "tally": dict(summary.tally),
+        "breaks": {str(seed): texts for seed, texts in sorted(summary.broken.items())},
+        "errors": {str(seed): text for seed, text in sorted(summary.errors.items())},
+    }  # fmt: skip
+
+
+class _progress:
+    """A bar on standard error, where that is a terminal."""
+
+    def __init__(self, total: int, quiet: bool) -> None:
+        self._total, self._bar = total, None if quiet or not sys.stderr.isatty() else self._make()
+
+    def _make(self) -> Any:
+        from rich.console import Console
+        from rich.progress import Progress
+
+        return Progress(console=Console(stderr=True))
+
+    def __enter__(self) -> Any:
+        if self._bar is None:
+            return None
+        bar = self._bar
+        bar.start()
+        task = bar.add_task("seeds", total=self._total)
+        return lambda result: bar.advance(task)
+
+    def __exit__(self, *error: object) -> None:
+        if self._bar is not None:
+            self._bar.stop()
+
+
+def _one(asked: argparse.Namespace, log: Any = None) -> Result:
+    found = _script(asked.what)
+    with mutants.applied(_mutant(asked)):
+        return world.run(found, log)
+
+
+def _verdict(result: Result, as_json: bool) -> int:
+    bad = bool(result.breaks or result.error)
+    if as_json:
+        breaks = [
+            {"rule": one.rule, "ms": (one.at_us - world.START_US) / 1000, "text": one.text}
+            for one in result.breaks
+        ]
+        print(json.dumps({
+            "seed": result.seed, "digest": result.digest, "breaks": breaks, "error": result.error,
+            "requests": result.requests, "tally": result.tally,
+        }))  # fmt: skip
+        return int(bad)
+    for one in result.breaks:
+        print(f"{(one.at_us - world.START_US) / 1000:10.3f} ms  {one.rule}: {one.text}")
+    if result.error:
+        print(result.error)
+    tally = ", ".join(f"{name} {count}" for name, count in result.tally.items())
+    print(f"{'broken' if bad else 'holds'}: {tally}; digest {result.digest}")
+    return int(bad)
+
+
+def _show(asked: argparse.Namespace) -> int:
+    found = _script(asked.what)
+    if not asked.json:
+        s = found.settings
+        print(f"{s.dispatchers} dispatchers, {len(s.engines)} engines, {len(found.requests)} requests")
+        for kind in s.classes:
+            print(f"  class {kind.name}: {kind.effect}, group {kind.group}, kinds {kind.kinds or 'any'}")
+    return _verdict(_one(asked, None if asked.json else print), asked.json)
+
+
+def _replay(asked: argparse.Namespace) -> int:
+    return _verdict(_one(asked), asked.json)
+
+
+def _shrink(asked: argparse.Namespace) -> int:
+    found, mutant = _script(asked.what), _mutant(asked)
+    with mutants.applied(mutant):
+        broken = shrink.breaks(found)
+        rule = asked.rule or next(iter(broken), "")
+        if rule not in broken:
+            found_rules = ", ".join(broken) or "none"
+            raise Bad(f"{asked.what}: wanted a script that breaks {rule or 'a rule'}, found {found_rules}")
+        best = shrink.shrink(found, rule, asked.budget_s)
+    best.script.note = f"breaks {rule}: {best.text}"
+    asked.output.write_bytes(encode(best.script))
+    told = {
+        "rule": rule, "text": best.text, "tries": best.tries, "file": str(asked.output),
+        "faults": len(best.script.faults), "requests": len(best.script.requests),
+    }  # fmt: skip
+    if asked.json:
+        print(json.dumps(told))
+    else:
+        left = f"{told['faults']} faults and {told['requests']} requests"
+        print(f"{rule}: {best.text}\n{left} left after {best.tries} tries, in {asked.output}")
+    return 1
+
+
+def _mutants(asked: argparse.Namespace) -> int:
+    seeds, jobs = _seed_range(asked.seeds), _jobs(asked)
+    if asked.only and asked.only not in mutants.MUTANTS:
+        raise Bad(f"--only: wanted one of {', '.join(sorted(mutants.MUTANTS))}, found {asked.only!r}")
+    found = mutants.hunt(seeds, jobs, asked.only)
+    if asked.json:
+        print(json.dumps([row.as_json() for row in found]))
+    else:
+        for row in found:
+            print(row.line())
+    missed = [row.name for row in found if not row.found]
+    if not asked.json:
+        print(
+            f"{len(found) - len(missed)} of {len(found)} found"
+            + (f"; missed: {', '.join(missed)}" if missed else "")
+        )
+    return 1 if missed else 0
+
+
+def _coverage(asked: argparse.Namespace) -> int:
+    summary = runner.run_many(_seed_range(asked.seeds), _jobs(asked))
+    table = coverage.Table(summary.coverage)
+    print(json.dumps(table.as_json()) if asked.json else table.text())
+    never = table.never()
+    if never:
+        print(f"never bit in {summary.seeds} seeds: {', '.join(never)}", file=sys.stderr)
+    return 1 if never else 0
+
+
+def _report(asked: argparse.Namespace) -> int:
+    from ashcross.lab import report
+
+    if asked.output.suffix != ".svg":
+        raise Bad(f"-o: wanted a name that ends with .svg, found {str(asked.output)!r}")
+    found = _script(asked.what)
+    result = world.run(found)
+    figures = report.draw(found, result, asked.output)
+    print(
+        json.dumps(figures)
+        if asked.json
+        else f"{asked.output}: " + ", ".join(f"{k} {v}" for k, v in figures.items())
+    )
+    return 1 if result.breaks or result.error else 0
--- /dev/null
+++ b/ashcross/lab/mutants.py
@@ -0,0 +1,380 @@
+"""Named defects, patched into the program at run time: the lab must find each and blame its own rule."""
+
+from __future__ import annotations
+
+import multiprocessing
+import signal
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager, nullcontext
+from dataclasses import asdict, dataclass, replace
+from typing import Any
+from unittest.mock import patch
+
+from ashcross.gateway import policy, state
+from ashcross.gateway.interface import Group, Mode, Outcome, Refuse
+from ashcross.gateway.policy import Gateway
+from ashcross.lab import world
+from ashcross.lab.script import draw
+from ashcross.lifecycle.clock import Clock
+from ashcross.lifecycle.service import Service
+from ashcross.loop import Loop
+from ashcross.memory.book import Book
+from ashcross.memory.fleet import Fleet
+from ashcross.wire import clients, jsonrpc
+from ashcross.wire.bulletin import Follower
+from ashcross.wire.clients import ClientLink, Clients
+from ashcross.wire.engines import EngineLink, Engines
+from ashcross.wire.framing import Framer
+
+Patch = tuple[Any, str, Any]  # of what, which attribute, what in its place
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """One defect: the rules that may be blamed for it, and what is put in the place of what."""
+
+    name: str
+    rules: tuple[str, ...]
+    patches: tuple[Patch, ...]
+
+
+def _nothing(*_: Any, **__: Any) -> None:
+    """Does nothing."""
+
+
+def _second_answer(link: Any, ident: int, frame: bytes) -> None:
+    link.open.pop(ident, None)
+    link._write(frame)
+    link._write(frame)
+
+
+def _swap(owner: Any, name: str, make: Callable[[Any], Any]) -> Patch:
+    """Replace a function by what `make` makes of it."""
+    return owner, name, make(getattr(owner, name))
+
+
+def _settings(**changes: Any) -> Patch:
+    """The module is told other settings than the operators give."""
+
+    def make(whole: Any) -> Any:
+        def init(gateway: Any, settings: Any, seed: int) -> None:
+            whole(gateway, replace(settings, **changes), seed)
+
+        return init
+
+    return _swap(Gateway, "__init__", make)
+
+
+def _limits(**changes: Any) -> Patch:
+    """The loop is told other limits than the configuration gives."""
+
+    def make(whole: Any) -> Any:
+        def init(loop: Any, clock: Any, later: Any, module: Any, book: Any, fleet: Any, limits: Any) -> None:
+            whole(loop, clock, later, module, book, fleet, replace(limits, **changes))
+
+        return init
+
+    return _swap(Loop, "__init__", make)
+
+
+def _any_group(whole: Any) -> Any:
+    def init(gateway: Any, settings: Any, seed: int) -> None:
+        kinds = tuple(replace(kind, group=Group.ALL) for kind in settings.classes)
+        whole(gateway, replace(settings, classes=kinds), seed)
+
+    return init
+
+
+def _late_news(whole: Any) -> Any:
+    def roster(loop: Any, news: Any) -> None:
+        loop._call_later(0.251, whole, loop, news)
+
+    return roster
+
+
+def _never_draining(whole: Any) -> Any:
+    def apply(fleet: Any, entry: Any) -> None:
+        if entry.told.mode is Mode.DRAINING:
+            entry = replace(entry, told=replace(entry.told, mode=Mode.READY))
+        whole(fleet, entry)
+
+    return apply
+
+
+def _still_ready(whole: Any) -> Any:
+    """The module hears of no drain either."""
+
+    def members(gateway: Any, now: int, event: Any) -> None:
+        entries = tuple(
+            replace(one, mode=Mode.READY) if one.mode is Mode.DRAINING else one for one in event.entries
+        )
+        whole(gateway, now, replace(event, entries=entries))
+
+    return members
+
+
+def _elsewhere_when_down(whole: Any) -> Any:
+    def may_send(gateway: Any, request: Any, engine: Any, now: int) -> bool:
+        kinds = request.kind.kinds
+        own = [
+            one
+            for one in gateway.engines.values()
+            if one.ready and not one.suspect and one.entry.kind in kinds
+        ]
+        if kinds and not own:
+            request.kind = replace(request.kind, kinds=())
+        return bool(whole(gateway, request, engine, now))
+
+    return may_send
+
+
+def _always_refuse(whole: Any) -> Any:
+    def end(gateway: Any, request: Any, now: int) -> None:
+        if not request.over:
+            gateway.actions.append(Refuse(request.event.request, 0))
+            gateway._over(request, now, False)
+
+    return end
+
+
+def _reset_as_refused(whole: Any) -> Any:
+    def lost(link: Any, reason: Any = None) -> None:
+        link._end(Outcome.CONNECT_FAILED)
+
+    return lost
+
+
+def _no_key(whole: Any) -> Any:
+    def ask(link: Any, attempt: Any) -> None:
+        kept, attempt.request.unique = attempt.request.unique, None
+        whole(link, attempt)
+        attempt.request.unique = kept
+
+    return ask
+
+
+def _trimmed(whole: Any) -> Any:
+    def ask(link: Any, attempt: Any) -> None:
+        attempt.request.statement = attempt.request.statement.rstrip(b"*/ ")
+        whole(link, attempt)
+
+    return ask
+
+
+def _no_kill(whole: Any) -> Any:
+    def give_up(link: Any, attempt: Any) -> None:
+        link.open.pop(attempt.request.txn, None)
+
+    return give_up
+
+
+def _ends_at_once(whole: Any) -> Any:
+    def drain(service: Any) -> None:
+        service._finish()
+
+    return drain
+
+
+def _nothing_abandoned(whole: Any) -> Any:
+    def advance(service: Any, now: int) -> None:
+        if now >= service._quiet_us:
+            service.loop.abandon = _nothing
+            service._finish()
+
+    return advance
+
+
+def _drops_when_paused(whole: Any) -> Any:
+    def write(link: Any, frame: bytes) -> None:
+        if not link._paused:
+            whole(link, frame)
+
+    return write
+
+
+def _all_come(whole: Any) -> Any:
+    def build(factory: Any, addr: Any) -> Any:
+        return ClientLink(factory)
+
+    return build
+
+
+def _reversed(whole: Any) -> Any:
+    def rows(ident: int, pages: list[bytes]) -> bytes:
+        return bytes(whole(ident, pages[::-1]))
+
+    return rows
+
+
+def _kept(whole: Any) -> Any:
+    def sweep(book: Any) -> None:
+        book._ended = [request for request in book._ended if request.outs]
+
+    return sweep
+
+
+def _stumbles(whole: Any) -> Any:
+    def health(gateway: Any, now: int) -> None:
+        whole(gateway, now)
+        if sum(engine.ready for engine in gateway.engines.values()) == 1:
+            raise ZeroDivisionError("one engine has no median")
+
+    return health
+
+
+class _SteppingClock(Clock):
+    """Follows the system's time, wherever that is set."""
+
+    __slots__ = ("_unix_ns",)
+
+    def __init__(self, unix_ns: Any, monotonic_ns: Any) -> None:
+        super().__init__(unix_ns, monotonic_ns)
+        self._unix_ns = unix_ns
+
+    def __call__(self) -> int:
+        return int(self._unix_ns() // 1000)
+
+
+def _now(loop: Any) -> int:
+    return int(loop.clock())
+
+
+def _warm(*_: Any) -> float:
+    return 1.0
+
+
+def _true(*_: Any) -> bool:
+    return True
+
+
+def _moot(attempt: Any, outcome: Any) -> Any:
+    return Outcome.MOOT
+
+
+# a module that never gives a request up: the guard at the deadline answers in its place
+MUTE_MODULE: tuple[Patch, ...] = ((Gateway, "_end", _nothing),)
+
+_MADE = (
+    Mutant("second-answer", ("answered",), ((ClientLink, "reply", _second_answer),)),
+    Mutant("answer-dropped-while-unread", ("answered",), (_swap(ClientLink, "_write", _drops_when_paused),)),
+    Mutant("pages-in-reverse", ("answered",), (_swap(jsonrpc, "rows", _reversed),)),
+    Mutant("spoilt-page-passed-on", ("answered",), ((EngineLink, "_fits", _true),)),
+    Mutant("overdue-guard-removed", ("answered",), ((Loop, "_overdue", _nothing), *MUTE_MODULE)),
+    Mutant("late-after-a-standstill", ("answered",), ((Loop, "arrived_us", _now),)),
+    Mutant(
+        "ends-at-sigterm",
+        ("answered",),
+        (_swap(Service, "drain", _ends_at_once), (Loop, "abandon", _nothing)),
+    ),
+    Mutant("ends-with-open-requests", ("answered",), (_swap(Service, "_advance", _nothing_abandoned),)),
+    Mutant("silent-clients-stay", ("answered",), ((ClientLink, "look", _nothing),)),
+    Mutant("clock-follows-steps", ("answered", "drain", "left"), ((world, "Clock", _SteppingClock),)),
+    Mutant(
+        "unsafe-again-after-reset", ("effect",), ((policy, "NEVER_RAN", (*policy.NEVER_RAN, Outcome.RESET)),)
+    ),
+    Mutant("reset-told-as-refused", ("effect",), (_swap(EngineLink, "connectionLost", _reset_as_refused),)),
+    Mutant("called-off-told-as-never-ran", ("effect",), ((Loop, "_called_off", staticmethod(_moot)),)),
+    Mutant("refuses-what-may-have-run", ("effect",), (_swap(Gateway, "_end", _always_refuse),)),
+    Mutant("keyed-past-its-window", ("effect",), ((policy, "KEYED", 5.0),)),
+    Mutant("keyed-out-of-its-group", ("effect",), (_swap(Gateway, "__init__", _any_group),)),
+    Mutant("key-not-sent", ("fault", "effect"), (_swap(EngineLink, "_ask", _no_key),)),
+    Mutant("statement-trimmed", ("fault",), (_swap(EngineLink, "_ask", _trimmed),)),
+    Mutant("no-wait-after-kill", ("copies",), (_limits(kill_wait_us=0),)),
+    Mutant("no-kill", ("copies",), (_swap(EngineLink, "give_up", _no_kill),)),
+    Mutant("drain-1-ms-too-long", ("drain",), (_swap(Loop, "roster", _late_news),)),
+    Mutant(
+        "drain-unheard",
+        ("drain",),
+        (_swap(Fleet, "_apply", _never_draining), _swap(Gateway, "_members", _still_ready)),
+    ),
+    Mutant("bulletin-never-again", ("drain",), ((Follower, "lost", _nothing),)),
+    Mutant("bulletin-silence-unheard", ("drain",), ((Follower, "check", _nothing),)),
+    Mutant("reload-unheard", ("drain",), ((Service, "reload", _nothing),)),
+    Mutant("cold-taken-for-warm", ("cold",), ((state.Engine, "warmth", _warm),)),
+    Mutant("order-ignored", ("order",), ((Gateway, "_in_turn", _true),)),
+    Mutant("order-key-not-told", ("order",), ((clients, "table_of", _nothing),)),
+    Mutant("rest-of-key-forgotten", ("order",), ((policy, "UNSETTLED", ()),)),
+    Mutant(
+        "placed-elsewhere-when-down", ("placement",), (_swap(Gateway, "_may_send", _elsewhere_when_down),)
+    ),
+    Mutant("ration-ignored", ("ration",), (_settings(ration_window_us=0),)),
+    Mutant("attempts-unbounded", ("ration",), (_settings(max_attempts=50), _limits(max_attempts=50))),
+    Mutant("clients-unbounded", ("bounds", "answered"), (_swap(Clients, "buildProtocol", _all_come),)),
+    Mutant("request-leaked", ("left",), (_swap(Book, "sweep", _kept),)),
+    Mutant("buffers-leaked", ("left",), ((Framer, "close", _nothing),)),
+    Mutant("connection-leaked", ("left",), ((Engines, "sweep", _nothing),)),
+    Mutant("client-link-leaked", ("left",), ((Clients, "went", _nothing),)),
+    Mutant("module-stumbles", ("fault",), (_swap(Gateway, "_health", _stumbles),)),
+)
+MUTANTS = {mutant.name: mutant for mutant in _MADE}
+
+
+@contextmanager
+def _patched(mutant: Mutant) -> Iterator[None]:
+    with ExitStack() as stack:
+        for owner, name, made in mutant.patches:
+            stack.enter_context(patch.object(owner, name, made))
+        yield
+
+
+def applied(name: str) -> AbstractContextManager[None]:
+    """The context in which the program has a mutant's defect; an empty name is the plain program."""
+    return _patched(MUTANTS[name]) if name else nullcontext()
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What became of one mutant."""
+
+    name: str
+    rules: tuple[str, ...]
+    found: bool
+    seed: int  # the first that broke one of its rules
+    after: int  # how many seeds were run
+    text: str
+    others: tuple[str, ...]  # rules broken before that are not its own
+
+    def line(self) -> str:
+        """One line of the table."""
+        how = (
+            f"after {self.after:5} seeds, at {self.seed}: {self.text}"
+            if self.found
+            else f"MISSED in {self.after}"
+        )
+        also = f" (also {', '.join(self.others)})" if self.others else ""
+        return f"{self.name:30} {'/'.join(self.rules):18} {how}{also}"
+
+    def as_json(self) -> dict[str, Any]:
+        """The same as a record."""
+        return asdict(self)
+
+
+def seek(name: str, seeds: Iterable[int]) -> Row:
+    """Run seeds with a mutant until one breaks its own rule."""
+    mutant, others, count, seed = MUTANTS[name], dict[str, None](), 0, 0
+    with applied(name):
+        for count, seed in enumerate(seeds, 1):
+            result = world.run(draw(seed))
+            own = next((one for one in result.breaks if one.rule in mutant.rules), None)
+            if own is not None:
+                return Row(name, mutant.rules, True, seed, count, f"{own.rule}: {own.text}", tuple(others))
+            others |= {one.rule: None for one in result.breaks}
+            others |= {"error": None} if result.error else {}
+    return Row(name, mutant.rules, False, seed, count, "", tuple(others))
+
+
+def _seek(asked: tuple[str, range]) -> Row:
+    return seek(*asked)
+
+
+def hunt(seeds: range, jobs: int, only: str = "") -> list[Row]:
+    """Seek every mutant, or one alone; in the order of the list."""
+    asked = [(name, seeds) for name in MUTANTS if not only or name == only]
+    if jobs <= 1 or len(asked) == 1:
+        return [_seek(one) for one in asked]
+    with multiprocessing.get_context("fork").Pool(jobs, initializer=_ignore_interrupt) as pool:
+        return pool.map(_seek, asked, chunksize=1)
+
+
+def _ignore_interrupt() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -102,9 +102,9 @@
     def arrived_us(self) -> int:
         """When bytes that are read now came at the earliest.
 
-        If the wait for sockets ended at once, they may have come at any time since the one before. So they may
-        if it ended long after something was due: no wait lasts longer than that, so the process stood still
-        (stopped, or without a core) while bytes came.
+        If the wait for sockets ended at once, they may have come at any time since the one before. So they
+        may if it ended long after something was due: no wait lasts longer than that, so the process stood
+        still (stopped, or without a core) while bytes came.
         """
         now = self.clock()
         due_us = self._beat_us if self._alarm is None else min(self._beat_us, self._alarm_us)
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -280,8 +280,8 @@
     def listens(self, port: Any) -> None:
         """Connections come from this port, a few at once.
 
-        Twisted begins with 100 and takes ever more in a flood, faster than those that make room can be closed:
-        descriptors would run out.
+        Twisted begins with 100 and takes ever more in a flood, faster than those that make room can be
+        closed: descriptors would run out.
         """
         self._port = port
         port.numberAccepts = self.limits.accepts
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -124,7 +124,7 @@
         return self._flushed < self._written
 
     def stuck(self) -> bool:
-        """And has it for long? The engine reads nothing, or is cut off: what it gets later may come too late."""
+        """And has it for long? The engine reads nothing or is cut off: what goes out later may be late."""
         return self.unsent() and self._loop.clock() - self._unsent_us > self._engines.limits.stuck_us
 
     def look(self) -> None:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -202,7 +202,7 @@
 
 
 def test_bytes_that_came_while_the_process_stood_still_count_from_the_look_before() -> None:
-    """Seed 19 of the lab: stopped for 860 ms, and a request that came in that time was answered 160 ms late."""
+    """Seed 19 of the lab: stopped for 860 ms; a request that came in that time was answered 160 ms late."""
     world = World()
     world.loop.beat(250_000)  # a sweep: the sockets have just been looked at
     looked_us = world.now_us
