Judge the lab's cold engines by kind, and make drains meet what cannot tell them

Cause: the settings told 8 cores for kinds whose engines had 2 to 8, so the rule on cold engines could not show; a drain seldom fell into a stalled or moved bulletin; a placed query could reach another engine at an address before its news. Change: cores belong to a kind, bulletin faults bring a long drain, the judge knows who lived at an address.

--- a/ashcross/lab/emulator.py
+++ b/ashcross/lab/emulator.py
@@ -25,7 +25,6 @@
 WEIGHTS = (1, 4, 8, 16)  # shares of scarce cores by priority (PROTOCOL)
 PAGE_BYTES = 5_900
 SLACK_US = 1_000_000  # an engine remembers a key a little longer than is said
-CHANCE = 1.5  # slack of the rule on cold engines: what a window brings is a matter of chance (PROTOCOL)
 SPOILS: tuple[Callable[[bytes, bytes], bytes], ...] = (
     lambda ident, answer: b"\x00\xffnoise " + answer[:9],
     lambda ident, answer: b"*4\r\n$99999999999\r\n",
@@ -324,7 +323,7 @@
             self._recent.popleft()
         total = sum(work for _, work, _ in self._recent)
         capacity = node.cores * (s.cold_from + (1 - s.cold_from) * warmth)
-        if total > CHANCE * s.fall_multiple * capacity * s.fall_ms * 1000:
+        if total > s.fall_multiple * capacity * s.fall_ms * 1000:
             self._judge.fell(node, sum(work for _, work, knew in self._recent if knew) / total)
             self.kill()
 
--- a/ashcross/lab/judge.py
+++ b/ashcross/lab/judge.py
@@ -165,6 +165,7 @@
         self.breaks: list[Break] = []
         self.posts: dict[Address, Post] = {}
         self.nodes: dict[Address, Node] = {}
+        self.lived: dict[Address, list[Node]] = {}  # all processes that have been at an address
         self.on_end: dict[End, Node] = {}  # which process took the connection, by the dispatcher's end
         self.modes: list[tuple[int, str, str, int]] = []  # event, engine, mode, when it was in the bulletin
         self.by_engine: dict[str, list[tuple[int, str, int]]] = {}
@@ -312,6 +313,11 @@
 
     # -------------------------------------------------------------- bulletin
 
+    def born(self, node: Node) -> None:
+        """An engine process has come up."""
+        self.nodes[node.address] = node
+        self.lived.setdefault(node.address, []).append(node)
+
     def told(self, post: Post, number: int) -> None:
         """An event of the bulletin has reached a dispatcher's host."""
         post.told.setdefault(number, self._now())
@@ -478,10 +484,12 @@
                 past_ms = (at_us - pull.sent_us) / 1000 - spec.window_ms
                 self.broke("effect", f"{post.name} sent {one.txn} again {past_ms:.0f} ms past its window")
 
-    @staticmethod
-    def _knows(post: Post, node: Node) -> bool:
+    def _knows(self, post: Post, node: Node) -> bool:
         """Was the dispatcher told of this process? One at the address of another may take it by surprise."""
-        return node.told_as in post.told
+        if node.told_as not in post.told:
+            return False
+        others = [one for one in self.lived.get(node.address, ()) if one.name != node.name]
+        return all(self.told_of(post, one.name, ("Gone",)) is not None for one in others)
 
     def _drain(self, post: Post, one: Try, node: Node, at_us: int) -> None:
         told_us = self.told_of(post, node.name, ("Terminating", "Gone")) if self._knows(post, node) else None
@@ -534,6 +542,8 @@
             return
         # decided before it was written, by a dial at most: the windows give way by that
         slack_us, span_us = s.dial_ms * 1000 + 50_000, s.ration_ms * 1000
+        if post.resumed_us > at_us - span_us - slack_us:  # and what came while it stood still was taken after
+            slack_us += post.resumed_us - post.paused_us
         while post.taken and post.taken[0] < at_us - span_us - slack_us:
             post.taken.popleft()
         while post.extra and post.extra[0] <= at_us - span_us + slack_us:
--- a/ashcross/lab/script.py
+++ b/ashcross/lab/script.py
@@ -15,6 +15,7 @@
 import numpy
 
 VERSION = 1
+ENGINE_KINDS = ("box-a", "box-b")
 
 
 class ScriptError(ValueError):
@@ -162,7 +163,7 @@
     "bulletin-broken": (1.5, "bulletin", 1, 400, 0, 0),
     "bulletin-stalled": (1.2, "bulletin", 500, 9_000, 0, 0),
     "bulletin-doubled": (0.8, "bulletin", 1_000, 6_000, 0, 0),
-    "bulletin-moved": (1.0, "bulletin", 1, 1, 0, 0),
+    "bulletin-moved": (1.5, "bulletin", 1, 1, 0, 0),
     "client-flood": (1.0, "dispatcher", 1, 1, 20, 120),
     "client-rude": (1.0, "dispatcher", 1, 1, 0, 8),
     "client-crowd": (0.6, "dispatcher", 500, 2_500, 20, 200),
@@ -216,11 +217,10 @@
 
 
 def _settings(r: random.Random) -> Settings:
-    kinds = ["box-a", "box-b"]
     safe = ClassSpec("lookup", aim_ms=r.choice((300, 600, 1_000)), give_up_ms=r.choice((1_500, 3_000)))
     placed = ClassSpec(
         "report", aim_ms=1_500, give_up_ms=4_000, worth=5.0, late_share=0.3, threads=r.choice((2, 4)),
-        kinds=[r.choice(kinds)],
+        kinds=[r.choice(ENGINE_KINDS)],
     )  # fmt: skip
     keyed = ClassSpec(
         "load", "dedup", r.choice(("all", "all", "zone", "cell")), r.choice((1_000, 2_500, 6_000)),
@@ -243,7 +243,7 @@
         idle_ms=r.choice((3_000, 15_000)),
         cold_from=r.choice((0.2, 0.3)),
         ramp_ms=r.choice((5_000, 15_000)),
-        fall_multiple=r.choice((2.0, 4.0)),
+        fall_multiple=r.choice((1.5, 2.0, 4.0)),
         fall_ms=r.choice((1_000, 2_000)),
         ration_free=2.0 if rationed else 0.0,
         ration_share=r.choice((0.05, 0.2)) if rationed else 0.0,
@@ -255,16 +255,9 @@
 def _engines(r: random.Random, settings: Settings) -> list[EngineSpec]:
     count = r.randint(2, 6)
     zones = ["here"] if r.random() < 0.6 else ["here", "there"]
-    return [
-        EngineSpec(
-            f"e{i}",
-            "box-a" if i == 0 else "box-b" if i == 1 else r.choice(("box-a", "box-b")),
-            r.choice(zones),
-            i % 2,
-            r.choice((2, 4, 8)),
-        )
-        for i in range(count)
-    ]
+    cores = {kind: r.choice((2, 4, 8)) for kind in ENGINE_KINDS}  # as the settings tell it, for a kind
+    kinds = [*ENGINE_KINDS, *(r.choice(ENGINE_KINDS) for _ in range(count - 2))]
+    return [EngineSpec(f"e{i}", kind, r.choice(zones), i % 2, cores[kind]) for i, kind in enumerate(kinds)]
 
 
 def _wires(r: random.Random) -> Wires:
@@ -332,6 +325,8 @@
         if follows is not None and own.random() < 0.6:  # faults that tell something only together
             second = draw_fault(own, follows, settings, traffic_ms)
             second.at_ms = fault.at_ms + own.randrange(0, 2_500)
+            if follows == "engine-draining":  # longer than the news of it may take
+                second.for_ms = own.randint(4_500, 9_000)
             if follows == "client-flood":  # enough to push a cold engine over
                 second.at_ms, second.amount = second.at_ms + fault.for_ms, float(own.randint(150, 400))
             yield second
--- a/ashcross/lab/world.py
+++ b/ashcross/lab/world.py
@@ -17,7 +17,7 @@
 from ashcross.lab.judge import Break, Judge, Node, Post
 from ashcross.lab.network import Machine, Network
 from ashcross.lab.people import People
-from ashcross.lab.script import Fault, Request, Script
+from ashcross.lab.script import ENGINE_KINDS, Fault, Request, Script
 from ashcross.lifecycle import config as configuration
 from ashcross.lifecycle import logs
 from ashcross.lifecycle.clock import Clock
@@ -27,7 +27,8 @@
 
 START_US, UNIX_US = 1_000_000_000, 1_800_000_000_000_000
 STEPS_MOST = 3_000_000
-LOOK_US, RETRIES_US, ENDING_US = 250_000, 2_000_000, 5_000_000
+LOOK_US, RETRIES_US = 250_000, 2_000_000
+ENDING_US = 4_900_000  # before the end: what is left is looked at between two sweeps, not in the midst of one
 ENGINE_PORT, BULLETIN = 9_000, ("10.2.0.1", 8_500)
 GREMLINS = ("slow", "erring", "full")
 
@@ -219,6 +220,7 @@
         """The operators' file for a dispatcher."""
         s = self.script.settings
         seed = random.Random(f"{self.script.seed}/{dispatcher.name}/{dispatcher.starts}").getrandbits(64)
+        cores = [self._cores(kind) for kind in ENGINE_KINDS]
         guarantees: dict[str, Any] = {
             "AnswerSlack": s.answer_slack_ms * 1000, "ColdFrom": s.cold_from, "RampTime": s.ramp_ms * 1000,
             "DrainGrace": s.drain_grace_ms * 1000, "Fall": s.fall_ms * 1000, "FallMultiple": s.fall_multiple,
@@ -250,7 +252,7 @@
                 "FamilyInfo": {
                     "ClassLoad": [c.is_load for c in s.classes],
                     "ClassThreads": [c.threads for c in s.classes],
-                    "ClassWaits": [False] * len(s.classes), "CpuOfKind": [8, 8], "SizeMb": [16384.0, 16384.0],
+                    "ClassWaits": [False] * len(s.classes), "CpuOfKind": cores, "SizeMb": [16384.0, 16384.0],
                     "GrantsCount": False, "LargestShare": 0.4, "MemoryShort": "queue",
                     "Priorities": s.priorities, "ProgressPace": s.progress_ms * 1000, "CostInAnswers": False,
                 },
@@ -262,7 +264,7 @@
                     "MaxOpen": 4000, "MaxRetryAfter": 300_000, "MayCancel": True, "Multiplex": 100,
                     "Probes": s.reports == "on_probe", "RetryAfter": True, "SecondCopies": s.second_copies,
                 },
-                "MachineTypes": ["box-a", "box-b"],
+                "MachineTypes": list(ENGINE_KINDS),
                 "Me": dispatcher.number,
                 "MyZone": "here",
                 "OverShareWorth": 0.1,
@@ -272,6 +274,10 @@
             },
         }  # fmt: skip
 
+    def _cores(self, kind: str) -> int:
+        """The cores of a kind of machine, as the settings tell them."""
+        return next((spec.cores for spec in self.script.settings.engines if spec.kind == kind), 8)
+
     def _usual_work_us(self) -> dict[str, float]:
         """The usual work of each class, as the rule on cold engines counts it: rare long ones are chance."""
         works: dict[str, list[int]] = {spec.name: [] for spec in self.script.settings.classes}
@@ -286,7 +292,7 @@
         self._names += 1
         address = (host or f"10.1.{self._names // 250}.{self._names % 250 + 1}", ENGINE_PORT)
         node = Node(name, kind, zone, cell, address, cores, boot_us)
-        self.judge.nodes[address] = node
+        self.judge.born(node)
         made = Engine(
             node,
             self.network,
@@ -483,8 +489,9 @@
             return False
         old = engine.node
         engine.kill()
-        kind, name = draw.choice(("box-a", "box-b")), f"n{self._names}"
-        made = self.engine(name, kind, old.zone, old.cell, old.cores, self.times.now_us, old.address[0])
+        kind, name = draw.choice(ENGINE_KINDS), f"n{self._names}"
+        cores = self._cores(kind)
+        made = self.engine(name, kind, old.zone, old.cell, cores, self.times.now_us, old.address[0])
         self.times.after(
             min(fault.for_ms, 2_000) * 1000, self.bulletin.tell, [(old, "Gone"), (made.node, "Ready")]
         )
