--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -247,6 +247,10 @@
     return True
 
 
+def _false(*_: Any) -> bool:
+    return False
+
+
 def _moot(attempt: Any, outcome: Any) -> Any:
     return Outcome.MOOT
 
@@ -300,6 +304,14 @@
     Mutant("ration-ignored", ("ration",), (_settings(ration_window_us=0),)),
     Mutant("attempts-unbounded", ("ration",), (_settings(max_attempts=50), _limits(max_attempts=50))),
     Mutant("clients-unbounded", ("bounds", "answered"), (_swap(Clients, "buildProtocol", _all_come),)),
+    Mutant(
+        "accepts-unbounded", ("bounds",), ((Clients, "listens", _nothing), (Clients, "_accepted", _nothing))
+    ),
+    Mutant(
+        "stuck-queries-go-out",
+        ("answered", "drain"),
+        ((EngineLink, "stuck", _false), (Engines, "drained", _nothing)),
+    ),
     Mutant("request-leaked", ("left",), (_swap(Book, "sweep", _kept),)),
     Mutant("buffers-leaked", ("left",), ((Framer, "close", _nothing),)),
     Mutant("connection-leaked", ("left",), ((Engines, "sweep", _nothing),)),
