--- a/ashcross/lab/people.py
+++ b/ashcross/lab/people.py
@@ -94,6 +94,8 @@
             f"select * from s{self._serial}_{request.tables}.t where k = {self._serial} "
             f"/* lab work={request.work_ms} rows={request.rows} */"
         )
+        if request.pad:
+            statement += f" /* {'x' * request.pad} */"
         if spec.in_turn:  # the table is the key of the order
             statement = statement.replace(f"s{self._serial}_", "s_", 1)
         op = f"{self._serial:032x}" if spec.effect == "dedup" else ""
--- a/ashcross/lab/script.py
+++ b/ashcross/lab/script.py
@@ -106,6 +106,7 @@
     memory_mb: int = 16
     tables: int = 1
     rows: int = 5
+    pad: int = 0  # bytes more in the statement
     limit_ms: int = 2_000
     team: str = ""
     retries: int = 0
@@ -183,6 +184,7 @@
     "bulletin-broken": "engine-draining",
     "engines-cold": "client-flood",
     "engine-replaced": "client-flood",
+    "engine-dark": "client-flood",
     "dispatcher-paused": "engine-draining",
     "dispatcher-stopped": "engine-silent",
 }
@@ -264,7 +266,7 @@
     return Wires(
         latency_us=r.choice((100, 400, 2_000)),
         jitter_us=r.choice((0, 200, 1_500)),
-        window=r.choice((8_192, 65_536, 65_536)),
+        window=r.choice((2_048, 8_192, 65_536, 65_536)),
         piece=r.choice((0, 0, 0, 7, 60)),
         wake_us=r.choice((10, 60, 500)),
     )
@@ -291,6 +293,7 @@
                 memory_mb=r.choice((8, 32, 200)),
                 tables=r.randint(1, 4),
                 rows=r.choice((1, 5, 40, 300, 1_200)),
+                pad=r.choice((0, 0, 0, 0, 3_000)),
                 limit_ms=int(spec.give_up_ms * r.choice((1.0, 1.0, 0.6, 0.3))),
                 team=r.choice(sorted(settings.tenants)) if settings.tenants else "",
                 retries=r.choice((0, 0, 1, 2)),
@@ -327,7 +330,7 @@
             second.at_ms = fault.at_ms + own.randrange(0, 2_500)
             if follows == "engine-draining":  # longer than the news of it may take
                 second.for_ms = own.randint(4_500, 9_000)
-            if follows == "client-flood":  # enough to push a cold engine over
+            if kind in ("engines-cold", "engine-replaced"):  # enough to push a cold engine over
                 second.at_ms, second.amount = second.at_ms + fault.for_ms, float(own.randint(150, 400))
             yield second
 
--- a/ashcross/lab/world.py
+++ b/ashcross/lab/world.py
@@ -554,7 +554,13 @@
         index = self._dispatcher(fault).number
         for _ in range(int(fault.amount)):
             request = Request(
-                0, 200, index, 0, work_ms=draw.randrange(5, 60), limit_ms=draw.choice((300, 1_500))
+                0,
+                200,
+                index,
+                0,
+                work_ms=draw.randrange(5, 60),
+                limit_ms=draw.choice((300, 1_500)),
+                pad=draw.choice((0, 0, 2_000)),
             )
             self.people.wish(request)
         return True
