End a connection whose KILL does not go out; count unread requests from when reading stopped

A give-up on a stuck connection now ends it, and so does a KILL that has not gone out after 20 ms. What is read again counts from when reading stopped, until a read finds less than a buffer. Tests fail without the changes.

--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -47,6 +47,7 @@
         self.reader = jsonrpc.BodyReader(clients.pool, clients.limits.body_bytes)
         self.open: dict[int, RequestRecord] = {}
         self.unsent, self._paused, self._ended = 0, False, False
+        self._unread_us: int | None = None  # since when bytes may lie in the kernel that were not read
         self.parting = False  # reads nothing more, and is closed once nothing is open on it
         self.calls = self.strikes = 0
         self._calls_seen = self.looks = 0
@@ -111,6 +112,8 @@
     def pauseProducing(self) -> None:
         """What was written is not read: read no more from there."""
         self._paused = True
+        if self._unread_us is None:
+            self._unread_us = self._loop.clock()
         self.transport.pauseProducing()
 
     def resumeProducing(self) -> None:
@@ -148,6 +151,10 @@
         if self._ended or self.parting:
             return
         arrived_us = self._loop.arrived_us()
+        if self._unread_us is not None:  # it came at any time since we stopped reading here
+            arrived_us = min(arrived_us, self._unread_us)
+            if len(data) < self._clients.limits.link_buffer_bytes:
+                self._unread_us = None  # that was all of it
         try:
             for body in self.reader.feed(data):
                 self._clients.used(self)
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -174,7 +174,7 @@
             pairs["op"] = request.unique
         if request.priority is not None:
             pairs["band"] = str(request.priority)
-        attempt.stage, attempt.at_byte = Stage.ASKED, self._written
+        attempt.stage = Stage.ASKED
         self._write(b"PULL", request.txn.encode(), resp.join_fields(pairs), request.statement)
 
     def give_up(self, attempt: AttemptRecord) -> None:
@@ -185,12 +185,19 @@
         self.alone = self.alone and bool(self.open)
         if not self.up or attempt.stage is Stage.DIALLING or attempt.ended:
             return
-        if attempt.at_byte >= self._flushed and self.stuck():
-            # its query may still lie here, and would go out after its answer or past a drain
-            self._spoilt("takes nothing in, and a query that may not have been sent is given up")
+        if self.stuck():
+            # its query may still lie here, and go out after its answer; word of its end would lie here too
+            self._spoilt("takes nothing in, and a query on it is given up")
             return
         ident = attempt.request.txn.encode()
         self._write(b"DISCARD" if attempt.stage is Stage.PAGES else b"KILL", ident)
+        # before another attempt may be sent, or the two would run at once
+        wait_us = self._engines.limits.stuck_us
+        self._loop.book.deadlines.add(self.used_us + wait_us, self._expect_sent, self._written)
+
+    def _expect_sent(self, written: int) -> None:
+        if not self.ended and self._flushed < written:
+            self._spoilt("takes nothing in, not even word that a query is given up")
 
     def boost(self, attempt: AttemptRecord, priority: int) -> None:
         """A new priority for an attempt that is out."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -394,6 +394,22 @@
     assert world.clients.unsent == 200
 
 
+def test_what_lay_unread_while_its_client_did_not_read_counts_from_when_we_stopped() -> None:
+    """Seed 307 of the lab: 150 ms unread behind a long answer, and answered 37 ms after the client's time."""
+    world = ClientWorld()
+    link, _ = world.connect()
+    stopped_us = world.now_us
+    link.pauseProducing()
+    world.now_us += 150_000
+    link.resumeProducing()
+    link.dataReceived(question(1, "a" * 16))
+    world.run()
+    world.now_us += 150_000
+    link.dataReceived(question(2, "b" * 16))
+    deadlines = [request.deadline_us for request in link.open.values()]
+    assert deadlines == [stopped_us + 1_000_000, world.now_us + 1_000_000]
+
+
 def test_a_fault_in_one_call_costs_that_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
     world = ClientWorld()
     link, wire = world.connect()
@@ -484,14 +500,24 @@
     assert wire.aborted and b"KILL" not in wire.taken()
 
 
-def test_a_query_that_has_been_sent_is_given_up_by_a_word_even_if_that_is_stuck() -> None:
+def test_word_that_gives_a_query_up_and_does_not_go_out_ends_the_connection() -> None:
+    """Seed 62 of the lab: a KILL lay here, and another attempt ran beside the one that it was for."""
     world = EngineWorld()
-    link, wire = world.started()
+    _, wire = world.started()
     wire.takes = False
-    link.boost(next(iter(link.open.values())), 3)
-    world.now_us += 30_000
     world.loop.settle(world.book.requests[TXN].attempts[0], Outcome.CANCELLED)
+    world.run(19_000)
     assert not wire.aborted and words(wire)[-1] == [b"KILL", ID]
+    world.run(2_000)
+    assert wire.aborted
+
+
+def test_word_that_has_gone_out_ends_nothing() -> None:
+    world = EngineWorld()
+    _, wire = world.started()
+    world.loop.settle(world.book.requests[TXN].attempts[0], Outcome.CANCELLED)
+    world.run(50_000)
+    assert not wire.aborted
 
 
 def test_what_still_lies_here_does_not_go_out_after_a_drain() -> None:
