Make no further attempt after a long dial; judge slow readers as such

A further attempt whose dial took 50 ms or more is told as never ran, and the module decides anew. Its test fails without the change.

--- a/ashcross/lab/judge.py
+++ b/ashcross/lab/judge.py
@@ -23,6 +23,7 @@
 REFUSED = -32050
 POLL_US = 2_000  # what the virtual process may take from the moment it is due until its bytes are out
 CROSSING_US = 50_000  # a request that crosses a close within this is sent again by its client (PROTOCOL)
+BLOCKED_US = 50_000  # a full window is read on after a round trip or two
 HELD_US = 20_000  # word that gives an attempt up, and is stuck in a cut cable, counts as given after this
 BREAKS_MOST = 20
 PACK = struct.Struct("<qqbI").pack
@@ -153,6 +154,7 @@
     words: Words | None = None
     arriving: Words | None = None
     wrote: bool = False
+    blocked_us: int = 0  # when its client last had no room for more
     tries: list[Try] = field(default_factory=list)  # of a client's connection, in order
 
 
@@ -244,6 +246,8 @@
         if stream is None:
             return
         stream.wrote = True
+        if not end.room():
+            stream.blocked_us = now_us
         try:
             if stream.words is not None:
                 for began_us, parts in stream.words.feed(data, now_us):
@@ -375,10 +379,16 @@
         if post.paused or now_us < post.resumed_us + wait_us:  # it stood still: its time begins again then
             self._later(max(now_us, post.resumed_us) + wait_us, self._due, one)
             return
-        if not (one.end.closed or one.client.stalled(one.end, one.arrived_us)):
+        if not (one.end.closed or self._slow_reader(one, one.arrived_us)):
             one.owed = False
             self.broke("answered", f"{post.name} gave {one.txn} ({one.spec.name}) no answer in its time")
 
+    def _slow_reader(self, one: Try, since_us: int) -> bool:
+        """Has the client left no room for its answers since then? It is read no more until it reads."""
+        stream = one.post.ends.get(one.end.peer) if one.end.peer is not None else None
+        blocked = stream is not None and stream.blocked_us >= since_us - BLOCKED_US
+        return blocked or bool(one.client.stalled(one.end, since_us))
+
     def _answered(self, stream: _Stream, content: dict[str, Any]) -> None:
         post, now_us = stream.post, self._now()
         ident = content.get("id")
@@ -409,7 +419,7 @@
         if not ran or one.spec.effect == "retryable":
             return
         late = self._now() - ran[0].sent_us > one.spec.window_ms * 1000
-        late = late and not one.client.stalled(one.end, ran[0].sent_us)  # else it lay there, worded in time
+        late = late and not self._slow_reader(one, ran[0].sent_us)  # else it lay there, worded in time
         if one.spec.effect == "fragile" or one.spec.group != "all" or late:
             self.broke("effect", f"{post.name} refused {one.txn} ({one.spec.name}), which may have run")
 
@@ -513,7 +523,7 @@
         for other in post.keys.get(one.key, ()):
             if other is one or other.arrived_us > one.arrived_us - POLL_US:
                 continue
-            if other.client.stalled(other.end, other.arrived_us):
+            if self._slow_reader(other, other.arrived_us):
                 continue  # its call was not read as long as its client read nothing
             if post.paused_us <= other.arrived_us and one.arrived_us <= post.resumed_us:
                 continue  # both came while it stood still: nothing tells which was first
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -35,6 +35,7 @@
     answer_bytes: int
     bulk_bytes: int
     stalled_looks: int = 3  # sweeps that find the same answer begun and not ended
+    stale_us: int = 50_000  # after which a further attempt that waits for its dial is not made any more
     stuck_us: int = 20_000  # after which what was written and not taken by the kernel counts as stuck
 
 
@@ -70,9 +71,11 @@
         self.up, self.used_us = True, self._loop.clock()
         self.heard_us = self.used_us
         for attempt in list(self.open.values()):
-            if self.record.ready:
+            # a further attempt was allowed when it was decided, not after a long dial or a standstill
+            stale = attempt.number and self.used_us - attempt.sent_us > self._engines.limits.stale_us
+            if self.record.ready and not stale:
                 self._ask(attempt)
-            else:  # drained or gone during the dial: it never ran
+            else:  # or drained or gone during the dial: it never ran
                 self._loop.settle(attempt, Outcome.MOOT)
         for probe in self.probes.values():
             self._ask_load(probe)
@@ -186,7 +189,7 @@
         if not self.up or attempt.stage is Stage.DIALLING or attempt.ended:
             return
         if self.stuck():
-            # its query may still lie here, and go out after its answer; word of its end would lie here too
+            # its query may lie here and go out after its answer; word of its end would lie here too
             self._spoilt("takes nothing in, and a query on it is given up")
             return
         ident = attempt.request.txn.encode()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -473,6 +473,21 @@
     assert (host, port, timeout) == ("127.0.0.1", 1, 0.25)
 
 
+@pytest.mark.parametrize(("dial_us", "made"), [(40_000, True), (60_000, False)])
+def test_a_further_attempt_is_not_made_after_a_long_dial(dial_us: int, made: bool) -> None:
+    """Seed 8216 of the lab: a keyed query went out 107 ms past its window, after a standstill in its dial."""
+    world = EngineWorld()
+    world.started("e1")
+    world.loop.settle(world.book.requests[TXN].attempts[0], Outcome.ERROR)
+    again: list[api.Action] = [api.Send(TXN, "e2", 0)]
+    world.module.script = lambda now, event: again if isinstance(event, api.Settled) else []
+    world.run()
+    (second,) = world.links("e2")
+    world.now_us += dial_us
+    assert (b"PULL" in world.come_up(second).taken()) is made
+    assert world.book.requests[TXN].attempts[1].settled is not made
+
+
 def test_a_connection_that_takes_nothing_in_gets_nothing_new() -> None:
     world = EngineWorld()
     link, wire = world.started()
