--- a/ashcross/lab/judge.py
+++ b/ashcross/lab/judge.py
@@ -246,7 +246,7 @@
         if stream is None:
             return
         stream.wrote = True
-        if not end.room():
+        if end.room() <= len(data):
             stream.blocked_us = now_us
         try:
             if stream.words is not None:
