--- a/ashcross/lab/commands.py
+++ b/ashcross/lab/commands.py
@@ -74,7 +74,7 @@
     shrinker.add_argument("--budget-s", type=float, default=60.0, help="time to spend (default %(default)g)")
     report.add_argument("-o", "--output", type=Path, required=True, metavar="FILE.svg")
     mutant = command("mutants", "put each known defect into the program and see whether it is found")
-    seeds(mutant, "0:400")
+    seeds(mutant, "0:800")
     mutant.add_argument("--only", default="", help="one mutant alone")
     cover = command("coverage", "how often each kind of fault met each stage of a request's life")
     seeds(cover, "0:1000")
--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -310,7 +310,11 @@
     Mutant(
         "stuck-queries-go-out",
         ("answered", "drain"),
-        ((EngineLink, "stuck", _false), (Engines, "drained", _nothing)),
+        (
+            (EngineLink, "stuck", _false),
+            (EngineLink, "_expect_sent", _nothing),
+            (Engines, "drained", _nothing),
+        ),
     ),
     Mutant("request-leaked", ("left",), (_swap(Book, "sweep", _kept),)),
     Mutant("buffers-leaked", ("left",), ((Framer, "close", _nothing),)),
