--- a/ashcross/lab/commands.py
+++ b/ashcross/lab/commands.py
@@ -75,6 +75,7 @@
     report.add_argument("-o", "--output", type=Path, required=True, metavar="FILE.svg")
     mutant = command("mutants", "put each known defect into the program and see whether it is found")
     seeds(mutant, "0:800")
+    mutant.add_argument("--scripts", type=Path, metavar="FOLDER", help="kept scripts, run after the seeds")
     mutant.add_argument("--only", default="", help="one mutant alone")
     cover = command("coverage", "how often each kind of fault met each stage of a request's life")
     seeds(cover, "0:1000")
@@ -246,7 +247,8 @@
     seeds, jobs = _seed_range(asked.seeds), _jobs(asked)
     if asked.only and asked.only not in mutants.MUTANTS:
         raise Bad(f"--only: wanted one of {', '.join(sorted(mutants.MUTANTS))}, found {asked.only!r}")
-    found = mutants.hunt(seeds, jobs, asked.only)
+    kept = tuple(load(path) for path in sorted(asked.scripts.glob("*.json"))) if asked.scripts else ()
+    found = mutants.hunt(seeds, jobs, asked.only, kept)
     if asked.json:
         print(json.dumps([row.as_json() for row in found]))
     else:
--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import AbstractContextManager, ExitStack, contextmanager, nullcontext
 from dataclasses import asdict, dataclass, replace
+from itertools import chain
 from typing import Any
 from unittest.mock import patch
 
@@ -14,7 +15,7 @@
 from ashcross.gateway.interface import Group, Mode, Outcome, Refuse
 from ashcross.gateway.policy import Gateway
 from ashcross.lab import world
-from ashcross.lab.script import draw
+from ashcross.lab.script import Script, draw
 from ashcross.lifecycle.clock import Clock
 from ashcross.lifecycle.service import Service
 from ashcross.loop import Loop
@@ -168,6 +169,12 @@
     return give_up
 
 
+def _word_only(link: Any, attempt: Any) -> None:
+    """Gives up by a word alone, wherever the query lies."""
+    if link.open.pop(attempt.request.txn, None) is not None and link.up and not attempt.ended:
+        link._write(b"KILL", attempt.request.txn.encode())
+
+
 def _ends_at_once(whole: Any) -> Any:
     def drain(service: Any) -> None:
         service._finish()
@@ -312,6 +319,7 @@
         ("answered", "drain"),
         (
             (EngineLink, "stuck", _false),
+            (EngineLink, "give_up", _word_only),
             (EngineLink, "_expect_sent", _nothing),
             (Engines, "drained", _nothing),
         ),
@@ -365,12 +373,12 @@
         return asdict(self)
 
 
-def seek(name: str, seeds: Iterable[int]) -> Row:
-    """Run seeds with a mutant until one breaks its own rule."""
+def seek(name: str, seeds: Iterable[int], scripts: tuple[Script, ...] = ()) -> Row:
+    """Run seeds, then kept scripts, with a mutant until one breaks its own rule."""
     mutant, others, count, seed = MUTANTS[name], dict[str, None](), 0, 0
     with applied(name):
-        for count, seed in enumerate(seeds, 1):
-            result = world.run(draw(seed))
+        for count, script in enumerate(chain(map(draw, seeds), scripts), 1):
+            result, seed = world.run(script), script.seed
             own = next((one for one in result.breaks if one.rule in mutant.rules), None)
             if own is not None:
                 return Row(name, mutant.rules, True, seed, count, f"{own.rule}: {own.text}", tuple(others))
@@ -379,13 +387,13 @@
     return Row(name, mutant.rules, False, seed, count, "", tuple(others))
 
 
-def _seek(asked: tuple[str, range]) -> Row:
+def _seek(asked: tuple[str, range, tuple[Script, ...]]) -> Row:
     return seek(*asked)
 
 
-def hunt(seeds: range, jobs: int, only: str = "") -> list[Row]:
+def hunt(seeds: range, jobs: int, only: str = "", scripts: tuple[Script, ...] = ()) -> list[Row]:
     """Seek every mutant, or one alone; in the order of the list."""
-    asked = [(name, seeds) for name in MUTANTS if not only or name == only]
+    asked = [(name, seeds, scripts) for name in MUTANTS if not only or name == only]
     if jobs <= 1 or len(asked) == 1:
         return [_seek(one) for one in asked]
     with multiprocessing.get_context("fork").Pool(jobs, initializer=_ignore_interrupt) as pool:
