Play herds in the lab: dispatchers killed at once, an old known, a bulletin that answers late

Change: a dispatcher that restarts knows the bulletin as of its end; a fault kills all dispatchers but one, drains an engine meanwhile and answers calls to the bulletin up to 1.5 s late.

--- a/ashcross/lab/emulator.py
+++ b/ashcross/lab/emulator.py
@@ -489,6 +489,7 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self.readers: list[Reader] = []
         self.doubles_until_us = 0
+        self.slow_until_us = self.slow_us = 0  # until then a call is answered so much later
         self.troubles: list[tuple[str, int]] = []
         self._listener = Listener(address, 64, self._accept)
         network.listen(self._listener)
@@ -524,9 +525,9 @@
         for reader in self.readers:
             self._say(reader, self.events[-1])
 
-    def known(self) -> dict[str, Any]:
-        """The configuration's `known`: all events so far."""
-        return {"no": len(self.events), "items": list(self.events)}
+    def known(self, number: int) -> dict[str, Any]:
+        """The configuration's `known`: all events up to a number."""
+        return {"no": number, "items": self.events[:number]}
 
     def _accept(self, listener: Listener) -> None:
         while listener.queue:
@@ -542,13 +543,22 @@
             return
         reader.head += end.read()
         if not reader.reading and b"\r\n\r\n" in reader.head:
-            match = re.search(rb"(?i)last-event-id:\s*(\d+)", reader.head)
-            last = int(match.group(1)) if match else 0
             reader.reading = True
-            self.readers.append(reader)
-            reader.speaker.say(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
-            for event in self.events[last:]:
-                self._say(reader, event)
+            slow_us = self.slow_us if self._times.now_us < self.slow_until_us else 0
+            if slow_us:
+                self._times.after(slow_us, self._answer, reader)
+            else:
+                self._answer(reader)
+        reader.speaker.push()
+
+    def _answer(self, reader: Reader) -> None:
+        """The call is answered: what came after the event that it names, and from now on what comes."""
+        match = re.search(rb"(?i)last-event-id:\s*(\d+)", reader.head)
+        last = int(match.group(1)) if match else 0
+        self.readers.append(reader)
+        reader.speaker.say(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        for event in self.events[last:]:
+            self._say(reader, event)
         reader.speaker.push()
 
     def _say(self, reader: Reader, event: dict[str, Any]) -> None:
@@ -595,6 +605,10 @@
             reader.end.close(reset=draw.random() < 0.5)
         return len(readers)
 
+    def slow(self, for_us: int, late_us: int) -> None:
+        """Answer calls late for a while."""
+        self.slow_until_us, self.slow_us = self._times.now_us + for_us, late_us
+
     def stall(self, on: bool) -> int:
         """Say nothing more on the connections that are open, or end those: how many."""
         if on:
--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -298,6 +298,7 @@
         ("drain",),
         (_swap(Fleet, "_apply", _never_draining), _swap(Gateway, "_members", _still_ready)),
     ),
+    Mutant("sends-before-the-backlog", ("drain",), ((Loop, "trust", _nothing),)),
     Mutant("bulletin-never-again", ("drain",), ((Follower, "lost", _nothing),)),
     Mutant("bulletin-silence-unheard", ("drain",), ((Follower, "check", _nothing),)),
     Mutant("reload-unheard", ("drain",), ((Service, "reload", _nothing),)),
--- a/ashcross/lab/script.py
+++ b/ashcross/lab/script.py
@@ -172,6 +172,7 @@
     "dispatcher-paused": (1.5, "dispatcher", 20, 1_200, 0, 0),
     "dispatcher-stopped": (1.2, "dispatcher", 300, 1_500, 0, 0),
     "dispatchers-two": (0.6, "dispatcher", 200, 1_500, 0, 0),
+    "dispatchers-herd": (1.0, "dispatcher", 200, 2_000, 0, 1_500),
 }
 
 
--- a/ashcross/lab/world.py
+++ b/ashcross/lab/world.py
@@ -57,6 +57,7 @@
         self.world, self.number = world, number
         self.name, self.host, self.port = f"d{number}", f"10.0.0.{number + 1}", 8_080
         self.starts, self.step_us = 0, 0
+        self.known_no = 0  # of the bulletin's events, those that its configuration holds
         self.machine: Machine | None = None
         self.service: Service | None = None
         self.reactor: VirtualReactor | None = None
@@ -78,6 +79,8 @@
         machine = self.machine = Machine(world.network, self.host, s.sockets)
         reactor = VirtualReactor(world.times, machine, world.script.wires.wake_us, world.fault)
         self.reactor = reactor
+        if not self.down_us:  # else its configuration is that of when it was killed or had ended
+            self.known_no = len(world.bulletin.events)
         config = self.config()
         post = self.post = Post(
             f"{self.name}.{self.starts}", (self.host, self.port), s.sockets,
@@ -113,7 +116,7 @@
             self.world.judge.note(f"{self.post.name} is killed")
             self.post.gone = "killed"
             self.machine.kill()
-            self.down_us = self.world.times.now_us
+            self._went()
 
     def pause(self, on: bool) -> None:
         """SIGSTOP and SIGCONT."""
@@ -156,7 +159,10 @@
         if self.post is not None:
             self.world.judge.note(f"{self.post.name} has ended")
             self.world.judge.ended_post(self.post, "exited")
-            self.down_us = self.world.times.now_us
+            self._went()
+
+    def _went(self) -> None:
+        self.down_us, self.known_no = self.world.times.now_us, len(self.world.bulletin.events)
 
     def unsent(self) -> int:
         """Bytes that wait in the process for clients to read."""
@@ -236,7 +242,7 @@
             "seed": f"{seed:x}",
             "limits": {"cores": 1.0, "memory_mb": s.memory_mb, "sockets": s.sockets},
             "bulletin": "{}:{}".format(*self.bulletin.address),
-            "known": self.bulletin.known(),
+            "known": self.bulletin.known(dispatcher.known_no),
             "settings": {
                 "Classes": [
                     {
@@ -599,6 +605,18 @@
             self.times.after((fault.for_ms + more * 150) * 1000, dispatcher.start)
         return False
 
+    def _dispatchers_herd(self, fault: Fault, draw: random.Random) -> bool:
+        """All but one are killed at once; an engine drains meanwhile, and the bulletin answers calls late."""
+        self.bit(fault.kind, "")
+        for more in range(max(1, len(self.dispatchers) - 1)):
+            dispatcher = self._dispatcher(fault, more)
+            dispatcher.kill()
+            self.times.after(fault.for_ms * 1000, dispatcher.start)
+        self.bulletin.slow((fault.for_ms + 2_000) * 1000, int(fault.amount * 1000))
+        drain = Fault("engine-draining", fault.at_ms, fault.for_ms + 3_000, fault.target)
+        self.times.after(draw.randrange(0, fault.for_ms * 1000), self._engine_draining, drain, draw)
+        return False
+
     def _dispatcher_paused(self, fault: Fault, draw: random.Random) -> bool:
         dispatcher = self._dispatcher(fault)
         dispatcher.pause(True)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -182,7 +182,10 @@
 
 # what each kept script was shrunk from: the defect that it shows, and the rule that it breaks
 SHOWN = {
+    "cold-taken-for-warm": ("cold-taken-for-warm", "cold"),
     "descriptors-run-out": ("accepts-unbounded", "bounds"),
+    "ends-with-an-open-request": ("ends-with-open-requests", "answered"),
+    "herd-sends-by-an-old-list": ("sends-before-the-backlog", "drain"),
     "late-after-a-standstill": ("late-after-a-standstill", "answered"),
     "order-key-not-told": ("order-key-not-told", "order"),
     "stuck-queries-after-their-answer": ("stuck-queries-go-out", "answered"),
