--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -22,7 +22,7 @@
     assert door is not None and not door.socket.getblocking()
     with socket.create_connection(door.socket.getsockname(), 5.0):
         pass
-    monkeypatch.setenv("ROUTER_LISTEN", "127.0.0.1:{}".format(door.socket.getsockname()[1]))
+    monkeypatch.setenv("ROUTER_LISTEN", f"127.0.0.1:{door.socket.getsockname()[1]}")
     assert open_door(["ashcross", "serve", "--config", str(path)]) is None  # in use: the second try tells
     door.socket.close()
 
