Choose engines and probe by the prices of connections and probes in the settings

The settings name the prices (Deductions.Handshake 0.08, Probe 0.08 for each first try); the module read neither.

--- a/ashcross/gateway/interface.py
+++ b/ashcross/gateway/interface.py
@@ -140,6 +140,9 @@
     tells_cost: bool
     over_share_worth: float
     cross_zone_price: float
+    dial_price: float  # for one new connection for each first try, as a share of all that is asked for
+    probe_price: float  # for one probe for each first try
+    idle_us: int  # after which a connection on which nothing is open is closed
     drain_grace_us: int
     cold_from: float
     ramp_us: int
--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -25,7 +25,7 @@
 FRESH, FADE = 1.0, 3.0  # shortest aims for which a report counts, and in which evidence on health fades
 GRANT = 1.25  # grant over the estimate, as the engines do themselves
 LOOK = 4  # engines compared for a choice, and for each gateway's share of them: more would herd to one report
-PROBES = 0.3  # probes for each query taken: with many gateways their price passes what they tell
+PROBES, SPENT = 0.3, 0.01  # most probes for each query taken, and the share of all worth that they may cost
 HEALTH_TICKS = 4  # ticks between looks at all engines
 CLIP = 4.0  # most that one attempt, slow or failed, says about slowness: bad plans are not the engine's doing
 SUSPECT, TRUST = 1.8, 1.3  # slowness against the median engine for trials only, and for full use again
@@ -39,6 +39,7 @@
 TURNS = 3  # parts of a cold engine's budget; with more gateways than that they take turns
 COLD = 0.6  # share of the fall budget used: work is priced at class means, which scatter
 WARM, HOMES, SEEN = 0.8, 3.0, 500  # cost at homes of its tables; homes for their share of queries, of so many
+DIALS = 4.0  # times the price of a new connection that an engine without one costs more: ties are common
 KEYED = 0.9  # share of a repeat window used: the clocks that count it are the engines'
 DENSE = 2.0  # worth per second of work from which a query gets the highest priority
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -183,6 +184,8 @@
             stuck = engine.loads.get(tables, 0) * (request.kind.is_load or request.kind.waits_for_loads)
             cost += CAP * (stuck + (engine is request.avoid))  # behind our own loads, or where it failed
             cost *= 1.0 + self.s.cross_zone_price * (engine.entry.zone != self.s.zone)
+            dials = not engine.threads and now - engine.idle_us >= self.s.idle_us / 2
+            cost *= 1.0 + DIALS * self.s.dial_price * dials
             if cost * (not engine.suspect) < best_cost:  # trials that are due go first
                 best, best_cost = engine, cost * (not engine.suspect)
         return best
@@ -241,7 +244,7 @@
         request = self.requests[event.request] = Request(event, kind, state, now + event.left_us)
         self.taken.add(now, 1.0)
         self.popular.count(event.tables)
-        self.probes = min(len(self.order), self.probes + PROBES)
+        self.probes = min(len(self.order), self.probes + min(PROBES, SPENT / (self.s.probe_price or SPENT)))
         if event.hint_us:
             state.seen += 1
             state.work_us += (event.hint_us - state.work_us) * max(LEARN, 1.0 / state.seen)
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -338,3 +338,38 @@
         world.accept(tenant="a")
     within = [r.within for r in world.gateway.requests.values()]
     assert within == [True] * 20 + [False] * 10  # not two: so many come in two seconds by chance
+
+
+def test_probes_cost_a_hundredth_of_the_worth_at_most() -> None:
+    counts = []
+    for price in (0.01, 0.08):
+        conf = settings(LOOKUP, instances=50, report_fields=("cpu",), probes=True, probe_price=price)
+        world = World(conf, engines=40)
+        for n in range(80):
+            for send in sends(world.accept(tables=n)):
+                world.settle(send.request, send.engine)
+            world.pass_us(400_000)
+        counts.append(sum(isinstance(a, api.Probe) for a in world.actions))
+    assert counts[0] >= 2 * counts[1] > 0 and counts[1] <= 80 * 0.01 / 0.08 + 1
+
+
+def test_where_new_connections_cost_queries_go_where_there_are_some() -> None:
+    used = []
+    for price in (0.0, 0.08):
+        conf = settings(LOOKUP, instances=100, dial_price=price, idle_us=15_000_000)
+        world = World(conf, engines=60)
+        names = []
+        for n in range(60):
+            for send in sends(world.accept(tables=n)):
+                names.append(send.engine)
+                world.settle(send.request, send.engine)
+            world.pass_us(50_000)
+        used.append(len(set(names)))
+    assert used[1] < 0.7 * used[0]
+
+
+def test_nothing_is_sent_by_a_stale_list_and_all_is_after_the_next() -> None:
+    world = World(settings(LOOKUP))
+    world.do(api.EngineList(api.ListKind.STALE, 1, ()))
+    assert not sends(world.accept())
+    assert [one.engine for one in sends(world.listed([entry("e0"), entry("e1")]))]
