Let one step of the follower make its list trusted

Found on a second read: believe and _settled ended in the same lines, and check asked for trusted before _settled did.

--- a/ashcross/wire/bulletin.py
+++ b/ashcross/wire/bulletin.py
@@ -176,7 +176,7 @@
             self._settling = self._reactor.callLater(self._limits.settle_s, self._settled)
 
     def believe(self) -> None:
-        """Go by what was known at the start, for as long as a silence would be borne."""
+        """Go by what is known, for as long as a silence is borne."""
         if not self.trusted:
             self.trusted = True
             self._trust(True)
@@ -189,9 +189,8 @@
     def _settled(self) -> None:
         """All that the bulletin had to tell at the call is known."""
         self._settling = None
-        if not self.trusted and not self._held:
-            self.trusted = True
-            self._trust(True)
+        if not self._held:
+            self.believe()
 
     def lost(self, link: BulletinLink) -> None:
         """Not connected, or no more: try again after a wait that doubles."""
@@ -218,8 +217,7 @@
             self._link.close()
         elif self._held and now_s - self._began_s > self._limits.replay_s:
             self._release()  # it never got to where we were: its count has restarted
-            if not self.trusted:
-                self._settled()
+            self._settled()
 
     def event(self, event: sse.ServerEvent) -> bool:
         """Take in one event; False if the list must be asked for afresh."""
