Keep clients that are not read out of those that make room: a request may lie there

Checked, by a probe on the link's calls: at 1,909.8 and 1,930.2 ms pauseProducing, as the client takes its answers slowly, so nothing is read from there any more; at 1,912.5 ms the request's last byte reaches the host; at 1,989.3 ms, in the crowd, buildProtocol chooses this link (open 0, paused) and ends it; at 1,996.6 ms the answers are flushed and the socket is closed with 231 bytes unread, 84 ms old. At fault: Clients._dispensable took `not link.open` for "nothing is open here". A link with unread time (`_unread_us`) makes no room now.

--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -247,6 +247,11 @@
         asked = Asked(known.classes[call.method], call.method, group_of_tables(text), key)
         self.open[ident] = self._loop.accept(self, ident, asked, query, arrived_us)
 
+    @property
+    def unread(self) -> bool:
+        """May a request lie in the kernel that was taken and not read yet?"""
+        return self._unread_us is not None
+
     def look(self, now: int) -> None:
         """Called by each sweep: a connection that says nothing, stops half-way or rests for long is ended."""
         if self.open or self._ended or self.parting:
@@ -315,14 +320,17 @@
     def _dispensable(self) -> ClientLink | None:
         """Who makes room: rude clients first, then the silent, then who has rested for longest.
 
-        Of a fresh connection nothing is known: its call may not have been read yet. It goes last.
+        Of a fresh connection nothing is known: its call may not have been read yet. It goes last. One that
+        is not read because its client takes its answers slowly makes no room: a request that was taken may
+        lie there unread, and would be lost with it.
         """
         if self.rude:
             return next(iter(self.rude))
         oldest = next(iter(self.silent), None)
         if oldest is not None and oldest.looks >= FRESH_LOOKS:
             return oldest
-        return next((link for link in self.links if link.calls and not link.open), oldest)
+        rested = (link for link in self.links if link.calls and not link.open and not link.unread)
+        return next(rested, oldest)
 
     def came(self, link: ClientLink) -> None:
         """Count a connection in."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -376,6 +376,24 @@
     assert world.clients.buildProtocol(None) is None  # all are in use by requests
 
 
+def test_a_connection_that_is_not_read_makes_no_room_as_a_request_may_lie_there() -> None:
+    """Seed 7327619 of the lab: a request lay unread behind a slow reader when a crowd came, and was lost."""
+    world = ClientWorld(connections=2)
+    slow, slow_wire = world.connect()
+    slow.dataReceived(jsonrpc.call("ping", 1, {}))
+    slow.pauseProducing()
+    other, other_wire = world.connect()
+    other.dataReceived(jsonrpc.call("ping", 1, {}))
+    assert world.clients.buildProtocol(None) is not None and other_wire.lost and not slow_wire.lost
+    world.connect()[0].dataReceived(question(1))
+    assert world.clients.buildProtocol(None) is None and not slow_wire.lost
+    slow.resumeProducing()
+    assert world.clients.buildProtocol(None) is None and not slow_wire.lost  # what lay there is read first
+    for _ in range(2):
+        world.reactor.advance(0)
+    assert world.clients.buildProtocol(None) is not None and slow_wire.lost
+
+
 def test_a_client_that_does_not_read_is_read_no_more_and_bounded() -> None:
     world = ClientWorld()
     slow, slow_wire = world.connect()
