--- a/ashcross/cli.py
+++ b/ashcross/cli.py
@@ -15,7 +15,6 @@
 from ashcross import __version__
 from ashcross.errors import AshcrossError
 from ashcross.lifecycle import config as configuration
-from ashcross.lifecycle.checks import ConfigError
 from ashcross.lifecycle.door import Door
 from ashcross.lifecycle.signals import Signals
 
@@ -86,11 +85,8 @@
 
             orders = records.load(asked.operator)
             orders.number(config.name, asked.operator)
-    except ConfigError as error:
-        print(f"ashcross: {error}", file=sys.stderr)
-        return 2
     except AshcrossError as error:
-        print(f"ashcross: {error.line()}", file=sys.stderr)
+        print(f"ashcross: {error}", file=sys.stderr)
         return 2
     if asked.command == "check-config":
         print(
@@ -103,7 +99,8 @@
                 f"quotas {', '.join(quota.name for quota in orders.quotas) or 'none'}"
             )
         return 0
-    from ashcross.lifecycle import logs, service  # Twisted is loaded by who serves alone
+    from ashcross import logs
+    from ashcross.lifecycle import service  # Twisted is loaded by who serves alone
 
     logs.start(config.transport.log_level)
     if orders is not None:
@@ -121,7 +118,8 @@
     try:
         where = address(asked.at)
     except RosterError as error:
-        print(f"ashcross: --at: {error}", file=sys.stderr)
+        told = RosterError("--at", error.wanted, error.found, "name a dispatcher as HOST:PORT")
+        print(f"ashcross: {told}", file=sys.stderr)
         return 2
     is_ping = asked.command == "ping"
     if is_ping:
@@ -141,7 +139,7 @@
     try:
         answer = asking.ask(where, call, wait_s)
     except asking.NoAnswer as error:
-        print(f"ashcross: no answer from {asked.at}: {error}", file=sys.stderr)
+        print(f"ashcross: {error}", file=sys.stderr)
         return 5
     if answer.result is None:
         later = f"; come back in {answer.later_ms} ms" if answer.later_ms else ""
--- a/ashcross/drill/wire.py
+++ b/ashcross/drill/wire.py
@@ -11,13 +11,16 @@
 import json
 from collections.abc import Callable
 
+from ashcross.errors import AshcrossError, shown
 from ashcross.gateway import interface as api
 from ashcross.lifecycle.settings import decode
 
 
-class WireError(ValueError):
+class WireError(AshcrossError):
     """Input that breaks the wire's form."""
 
+    remedy = "the adapter ends; check that the simulator and the adapter are of versions that fit"
+
 
 OUTCOMES = {
     "GOOD": api.Outcome.GOOD,
@@ -146,7 +149,7 @@
         try:
             payload = b"" if octets == "-" else base64.b64decode(octets, validate=True)
         except binascii.Error as error:
-            raise WireError(f"INBOX: {error}") from error
+            raise WireError("INBOX", "base64", str(error)) from error
         return api.PeerMessage(int(peer), payload)
 
 
@@ -194,4 +197,4 @@
             return f"POST\t{instance}\t{peer}\t{base64.b64encode(payload).decode() or '-'}"
         case api.Log(text):
             return f"PRINT\t{instance}\t{one_line(text) or '-'}"
-    raise TypeError(f"no such action: {action!r}")
+    raise WireError("an action of the module", "one that the wire has", shown(action))
--- a/ashcross/errors.py
+++ b/ashcross/errors.py
@@ -19,7 +19,7 @@
     def __init__(self, place: str, wanted: str = "", found: str = "", remedy: str = "") -> None:
         self.place, self.wanted, self.found = place, wanted, found
         self.remedy = remedy or type(self).remedy
-        super().__init__(self.told())
+        super().__init__(self.line())
 
     def told(self) -> str:
         """What is wrong, without the remedy."""
--- a/ashcross/lab/judge.py
+++ b/ashcross/lab/judge.py
@@ -22,6 +22,7 @@
 
 REFUSED = -32050
 POLL_US = 2_000  # what the virtual process may take from the moment it is due until its bytes are out
+ROUND_US = 50  # within which all that one turn wrote is with the kernel, if that has room for it
 CROSSING_US = 50_000  # a request that crosses a close within this is sent again by its client (PROTOCOL)
 BLOCKED_US = 50_000  # a full window is read on after a round trip or two
 HELD_US = 20_000  # word that gives an attempt up, and is stuck in a cut cable, counts as given after this
@@ -513,6 +514,10 @@
                 pull.served and pull.answered_us for pull in other.pulls
             )  # its answer is on its way out
             if not other.answer and other.owed and not done:
+                if other.pulls and all(pull.answered_us for pull in other.pulls):
+                    # both may have been written in one turn: the kernel takes from two sockets in any order
+                    self._later(at_us + ROUND_US, self._over_by_now, (post, one, other))
+                    continue
                 self.broke("order", f"{post.name} sent {one.txn} before {other.txn} of the same key was over")
                 return
             for pull in other.pulls:
@@ -528,6 +533,11 @@
                     )
                     return
 
+    def _over_by_now(self, both: tuple[Post, Try, Try]) -> None:
+        post, one, other = both
+        if not other.answer and other.owed and not post.gone:
+            self.broke("order", f"{post.name} sent {one.txn} before {other.txn} of the same key was over")
+
     def _ration(self, post: Post, one: Try, at_us: int) -> None:
         s = self.settings
         if not s.ration_ms:
--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -315,6 +315,11 @@
     Mutant(
         "accepts-unbounded", ("bounds",), ((Clients, "listens", _nothing), (Clients, "_accepted", _nothing))
     ),
+    Mutant(
+        "standstill-unheard-at-the-door",
+        ("answered",),
+        ((Loop, "stood_still", property(lambda loop: False, _nothing)),),
+    ),
     Mutant("unread-links-make-room", ("answered",), ((ClientLink, "unread", False),)),
     Mutant(
         "stuck-queries-go-out",
--- a/ashcross/lab/wire.py
+++ b/ashcross/lab/wire.py
@@ -10,11 +10,14 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from ashcross.errors import AshcrossError, shown
 from ashcross.lab.network import End
 
 
-class Unreadable(ValueError):
-    """Bytes that break the form."""
+class Unreadable(AshcrossError):
+    """Bytes of the program that break the form, as the judge reads them."""
+
+    remedy = "a fault of the program: keep the seed as a script and look at what it wrote"
 
 
 class Words:
@@ -59,7 +62,7 @@
         if end < 0:
             return None
         if self._held[at : at + 1] != mark or not self._held[at + 1 : end].isdigit():
-            raise Unreadable(f"no length at {bytes(self._held[at : at + 20])!r}")
+            raise Unreadable("words", "a length", shown(bytes(self._held[at : at + 20])))
         return int(self._held[at + 1 : end]), end + 2
 
 
@@ -80,14 +83,14 @@
         while (end := self._held.find(b"\r\n\r\n")) >= 0:
             name, _, value = bytes(self._held[:end]).partition(b":")
             if name.lower() != b"content-length" or not value.strip().isdigit():
-                raise Unreadable(f"no head: {bytes(self._held[:40])!r}")
+                raise Unreadable("frame", "a head", shown(bytes(self._held[:40])))
             stop = end + 4 + int(value)
             if len(self._held) < stop:
                 return
             try:
                 content = json.loads(bytes(self._held[end + 4 : stop]))
             except ValueError as error:
-                raise Unreadable(f"no JSON: {error}") from None
+                raise Unreadable("frame", "JSON", str(error)) from None
             del self._held[:stop]
             yield content
 
--- a/ashcross/lab/world.py
+++ b/ashcross/lab/world.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from ashcross import logs
 from ashcross.lab.clock import Timeline, VirtualReactor
 from ashcross.lab.emulator import Bulletin, Engine, Gremlin, Group
 from ashcross.lab.judge import Break, Judge, Node, Post
@@ -19,11 +20,10 @@
 from ashcross.lab.people import People
 from ashcross.lab.script import ENGINE_KINDS, Fault, Request, Script
 from ashcross.lifecycle import config as configuration
-from ashcross.lifecycle import logs
 from ashcross.lifecycle.clock import Clock
-from ashcross.lifecycle.logs import seldom
 from ashcross.lifecycle.phases import Phase
 from ashcross.lifecycle.service import Service
+from ashcross.logs import seldom
 
 START_US, UNIX_US = 1_000_000_000, 1_800_000_000_000_000
 STEPS_MOST = 3_000_000
--- a/ashcross/lifecycle/checks.py
+++ b/ashcross/lifecycle/checks.py
@@ -5,12 +5,16 @@
 from collections.abc import Iterator, Mapping
 from typing import Any, TypeVar
 
+from ashcross.errors import AshcrossError, shown
+
 Choice = TypeVar("Choice")
 
 
-class ConfigError(ValueError):
+class ConfigError(AshcrossError):
     """A value of the configuration that cannot be used."""
 
+    remedy = "correct it; `ashcross check-config` reads the configuration without starting"
+
 
 class Section:
     """One object of the configuration, with its path for messages. Absent and null are the same."""
@@ -18,7 +22,7 @@
     def __init__(self, content: Any, path: str) -> None:
         self.path = path
         if not isinstance(content, dict):
-            raise ConfigError(f"{path or 'the configuration'}: wanted an object, found {_shown(content)}")
+            raise ConfigError(path or "the configuration", "an object", shown(content))
         self._content = content
 
     def name(self, key: str) -> str:
@@ -27,8 +31,7 @@
 
     def _wrong(self, key: str, wanted: str) -> ConfigError:
         value = self._content.get(key)
-        found = "nothing" if value is None else _shown(value)
-        return ConfigError(f"{self.name(key)}: wanted {wanted}, found {found}")
+        return ConfigError(self.name(key), wanted, "nothing" if value is None else shown(value))
 
     def get(self, key: str) -> Any:
         """The value as it stands; None if absent."""
@@ -121,11 +124,6 @@
         return sorted(set(self._content) - set(known))
 
 
-def _shown(value: Any) -> str:
-    text = repr(value)
-    return text if len(text) <= 60 else text[:57] + "..."
-
-
 def at(values: list[float], index: int, default: float) -> float:
     """An item of a list that may be short."""
     return values[index] if index < len(values) else default
--- a/ashcross/lifecycle/config.py
+++ b/ashcross/lifecycle/config.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ashcross.errors import shown
 from ashcross.gateway import interface as api
 from ashcross.lifecycle.checks import ConfigError, Section
 from ashcross.lifecycle.settings import HostSettings, decode
@@ -128,14 +129,21 @@
     """Read the file that is named, or else the one of the environment."""
     path = path or environ.get(PATH_VARIABLE)
     if not path:
-        raise ConfigError(f"{PATH_VARIABLE}: wanted the path of the configuration, found nothing")
+        raise ConfigError(
+            PATH_VARIABLE,
+            "the path of the configuration",
+            "nothing",
+            "set it, or name the file with --config FILE",
+        )
     try:
         with open(path, encoding="utf-8") as file:
             content = json.load(file)
     except OSError as error:
-        raise ConfigError(f"{path}: cannot be read: {error.strerror}") from None
+        raise ConfigError(
+            str(path), "a file that can be read", str(error.strerror), "name another file, or let it be read"
+        ) from None
     except ValueError as error:
-        raise ConfigError(f"{path}: wanted JSON, found otherwise: {error}") from None
+        raise ConfigError(str(path), "JSON", str(error)) from None
     return check(content, environ)
 
 
@@ -169,7 +177,7 @@
     try:
         return address(conf.get(key), least=least)
     except RosterError as error:
-        raise ConfigError(f"{conf.name(key)}: {error}") from None
+        raise ConfigError(conf.name(key), error.wanted, error.found) from None
 
 
 def _listen(conf: Section, environ: Mapping[str, str]) -> tuple[str, int]:
@@ -179,7 +187,7 @@
     try:
         return address(told, least=0)
     except RosterError as error:
-        raise ConfigError(f"{LISTEN_VARIABLE}: {error}") from None
+        raise ConfigError(LISTEN_VARIABLE, error.wanted, error.found) from None
 
 
 def _seed(conf: Section) -> int:
@@ -188,7 +196,7 @@
         try:
             return int(seed, 16)
         except ValueError:
-            raise ConfigError(f"seed: wanted hex digits, found {seed[:40]!r}") from None
+            raise ConfigError("seed", "hex digits", shown(seed)) from None
     return conf.integer("seed")
 
 
@@ -199,7 +207,7 @@
         try:
             rosters.append(roster(item))
         except RosterError as error:
-            raise ConfigError(f"known.items[{i}]: {error}") from None
+            raise ConfigError(f"known.items[{i}].{error.place}", error.wanted, error.found) from None
     return tuple(rosters), known.integer("no", rosters[-1].number if rosters else 0)
 
 
@@ -208,7 +216,7 @@
     values: dict[str, Any] = {}
     names = tuple(Transport.__dataclass_fields__)
     for key in conf.unknown(names):
-        raise ConfigError(f"{conf.name(key)}: wanted one of {', '.join(names)}, found this key")
+        raise ConfigError(conf.name(key), f"one of {', '.join(names)}", "this key")
     for name in names:
         default = getattr(defaults, name)
         if isinstance(default, str):
@@ -219,12 +227,12 @@
         else:
             values[name] = conf.integer(name, default, least=1)
     if values["spare_descriptors"] > 48:
-        raise ConfigError(f"{conf.name('spare_descriptors')}: wanted at most 48, found more")
+        raise ConfigError(conf.name("spare_descriptors"), "at most 48", "more")
     shares = ("statements_share", "unsent_share", "waiting_share", "records_share")
     if sum(values[name] for name in shares) > 0.9:
-        raise ConfigError(f"{conf.name(shares[0])}: wanted at most 0.9 with the other shares, found more")
+        raise ConfigError(conf.name(shares[0]), "at most 0.9 with the other shares", "more")
     if values["links_share"] + values["clients_share"] > 0.95:
-        raise ConfigError(f"{conf.name('links_share')}: wanted at most 0.95 with clients_share, found more")
+        raise ConfigError(conf.name("links_share"), "at most 0.95 with clients_share", "more")
     return Transport(**values)
 
 
--- a/ashcross/lifecycle/phases.py
+++ b/ashcross/lifecycle/phases.py
@@ -8,6 +8,8 @@
 
 from loguru import logger
 
+from ashcross.errors import AshcrossError
+
 
 class Phase(Enum):
     """What the dispatcher does now."""
@@ -28,9 +30,11 @@
 }
 
 
-class PhaseError(RuntimeError):
+class PhaseError(AshcrossError):
     """A step that is not listed."""
 
+    remedy = "a fault of the program: report it with the log lines before it, and restart the dispatcher"
+
 
 class Phases:
     """Holds the phase, allows the listed steps only, and tells who asked to be told."""
@@ -46,7 +50,8 @@
     def enter(self, phase: Phase) -> None:
         """Take a step."""
         if phase not in STEPS[self.now]:
-            raise PhaseError(f"no step leads from {self.now.value} to {phase.value}")
+            steps = ", ".join(sorted(step.value for step in STEPS[self.now])) or "none"
+            raise PhaseError(f"phase {self.now.value}", f"one of the steps {steps}", phase.value)
         logger.info("{} -> {}", self.now.value, phase.value)
         self.now = phase
         for tell in self._told:
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -11,16 +11,16 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
+from ashcross import logs
 from ashcross.gateway.interface import Closing, ListKind
 from ashcross.gateway.policy import Gateway
-from ashcross.lifecycle import logs
 from ashcross.lifecycle.checks import ConfigError
 from ashcross.lifecycle.clock import Clock
 from ashcross.lifecycle.config import Config, set_descriptor_limit
 from ashcross.lifecycle.door import BACKLOG, Door
-from ashcross.lifecycle.logs import seldom
 from ashcross.lifecycle.phases import Phase, Phases
 from ashcross.lifecycle.signals import Signals
+from ashcross.logs import seldom
 from ashcross.loop import HostLimits, Loop
 from ashcross.memory.book import Book
 from ashcross.memory.buffers import BufferPool
--- a/ashcross/lifecycle/settings.py
+++ b/ashcross/lifecycle/settings.py
@@ -105,7 +105,7 @@
     )
     names = {item.text("Name"): i for i, item in enumerate(items)}
     if len(names) < len(items):
-        raise ConfigError(f"{conf.name('Classes')}: wanted names that differ, found one twice")
+        raise ConfigError(conf.name("Classes"), "names that differ", "one twice")
     host = HostSettings(
         class_names=names,
         keyed=frozenset(name for name, i in names.items() if classes[i].effect is api.Effect.KEYED),
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -14,10 +14,11 @@
 
 from ashcross.gateway import interface as api
 from ashcross.gateway.interface import Outcome
-from ashcross.lifecycle.logs import seldom
+from ashcross.logs import seldom
 from ashcross.memory.book import AttemptRecord, Book, ProbeRecord, Replies, RequestRecord, Stage
 from ashcross.memory.fleet import EngineRecord, Fleet, Roster
 from ashcross.wire import jsonrpc
+from ashcross.wire.hosting import Asked, Clock, Gate
 
 # outcomes by which an engine may still work for the attempt until it hears of its end
 UNHEARD = (Outcome.CANCELLED, Outcome.TIMEOUT, Outcome.RESET)
@@ -48,19 +49,6 @@
         """The list has changed: nothing that is not sent yet may still go to who is not ready any more."""
 
 
-class Gate(Protocol):
-    """Who may hold a request back before the module hears of it, or turn it away."""
-
-    def offer(self, request: RequestRecord, team: str | None) -> None:
-        """A request was taken; one call of `Loop.admit` or `Loop.turn_away` follows, now or later."""
-
-    def written(self, request: RequestRecord) -> None:
-        """An attempt of it goes out to an engine."""
-
-    def over(self, request: RequestRecord) -> None:
-        """It has its final answer, or nobody waits for it."""
-
-
 @dataclass(frozen=True, slots=True)
 class HostLimits:
     """What the settings and the configuration ask of the loop."""
@@ -74,29 +62,22 @@
     second_copies: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Asked:
-    """What a query asks for, beside its parameters: class, group of tables, and the key of its order."""
-
-    class_index: int
-    sort: str
-    tables: int
-    key: str | None = None
-
-
 class Loop:
     """One turn for all that has become ready; a turn is asked for with a call after 0 s."""
 
+    stood_still = False  # before this look at the sockets: calls of long ago may lie at each of them
+
     def __init__(
         self,
-        clock: Callable[[], int],
+        clock: Clock,
         call_later: Callable[..., Any],
         module: Module,
         book: Book,
         fleet: Fleet,
         limits: HostLimits,
     ) -> None:
-        self.clock, self._call_later = clock, call_later
+        self.clock: Clock = clock
+        self._call_later = call_later
         self.module, self.book, self.fleet, self.limits = module, book, fleet, limits
         self.engines: Dialler | None = None
         self.gate: Gate | None = None
@@ -126,7 +107,7 @@
         now = self.clock()
         due_us = self._beat_us if self._alarm is None else min(self._beat_us, self._alarm_us)
         if now > due_us + LATE_US and self._turn_end_us <= due_us:
-            self._woke_us = self._turn_end_us
+            self._woke_us, self.stood_still = self._turn_end_us, True
         elif now - self._turn_end_us > SLEPT_US and not self._asked:
             self._woke_us = now
         self._turn_end_us = now
@@ -136,7 +117,7 @@
         """The sweep is made, right after a look at the sockets; it is made again in `next_us`."""
         self._turn_end_us = now = self.clock()
         self._beat_us = now + next_us
-        self.fresh = False
+        self.fresh = self.stood_still = False
 
     def gather(self, event: api.Event) -> None:
         """Put an event into the next turn."""
@@ -287,6 +268,7 @@
             if self._ready or self._rosters:
                 self.ask()
             self._set_alarm()
+            self.stood_still = False  # what lay at the sockets then has been read before this turn
             self._turn_end_us = end_us = self.clock()
             self.worst_turn_us = max(self.worst_turn_us, end_us - now)
 
--- a/ashcross/memory/book.py
+++ b/ashcross/memory/book.py
@@ -8,7 +8,7 @@
 from heapq import heapify, heappop, heappush
 from typing import Any, Protocol
 
-from ashcross.lifecycle.logs import seldom
+from ashcross.logs import seldom
 
 COMPACT_FROM = 1024  # entries of the heap before dead ones are looked for
 
--- a/ashcross/memory/fleet.py
+++ b/ashcross/memory/fleet.py
@@ -4,13 +4,10 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import Any
 
 from ashcross.gateway import interface as api
 
-if TYPE_CHECKING:
-    from ashcross.wire.engines import EngineLink
-
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -42,7 +39,7 @@
     port: int
     boot_us: int
     mode: api.Mode
-    links: list[EngineLink] = field(default_factory=list)
+    links: list[Any] = field(default_factory=list)  # connections, of the wire's kind; only counted here
 
     @property
     def ready(self) -> bool:
--- a/ashcross/operator/assemble.py
+++ b/ashcross/operator/assemble.py
@@ -27,7 +27,7 @@
             period_us=tier.period_ms * 1000,
             limits=limits(orders.quotas),
         ),
-        Admission(orders.quotas),
+        Admission(orders.quotas).names,
         Codec(bytes.fromhex(tier.key)),
         places,
         address(tier.members[me].address),
--- a/ashcross/tier/host.py
+++ b/ashcross/tier/host.py
@@ -12,10 +12,10 @@
 from twisted.internet.protocol import DatagramProtocol
 from twisted.internet.task import LoopingCall
 
-from ashcross.lifecycle.logs import seldom
+from ashcross.logs import seldom
 from ashcross.loop import Loop
 from ashcross.memory.book import RequestRecord
-from ashcross.quota.admission import Admission
+from ashcross.tier.budget import Name
 from ashcross.tier.messages import Codec, MessageError
 from ashcross.tier.node import (
     Action,
@@ -48,8 +48,8 @@
 class Host(DatagramProtocol):
     """One process of the tier: its socket, its ticks, and the gate before the loop.
 
-    `places` are host and port of each listed member, as this process reaches them; `clock` gives
-    microseconds.
+    `names` tells what a request of a class and team is charged to; `places` are host and port of each listed
+    member, as this process reaches them; `clock` gives microseconds.
     """
 
     transport: Any
@@ -59,14 +59,14 @@
         reactor: Any,
         loop: Loop,
         settings: NodeSettings,
-        admission: Admission,
+        names: Callable[[str, str | None], tuple[Name, ...]],
         codec: Codec,
         places: Sequence[tuple[str, int]],
         listen: tuple[str, int],
         clock: Callable[[], int] = boot_us,
         draw: random.Random | None = None,
     ) -> None:
-        self._reactor, self._loop, self.settings, self._admission = reactor, loop, settings, admission
+        self._reactor, self._loop, self.settings, self._names = reactor, loop, settings, names
         self._codec, self._places, self._listen, self._clock = codec, list(places), listen, clock
         draw = draw or random.Random(secrets.randbits(64))
         self.node = Node(settings, draw.getrandbits(31), clock(), draw)
@@ -113,7 +113,7 @@
 
     def offer(self, request: RequestRecord, team: str | None) -> None:
         """A request was taken: it goes on, or is turned away, now or soon."""
-        names = self._admission.names(request.sort, team)
+        names = self._names(request.sort, team)
         if not names:
             self._loop.admit(request.txn)
             return
@@ -136,7 +136,7 @@
             message = self._codec.decode(datagram)
         except MessageError as error:
             self.unreadable += 1
-            seldom.warn("tier", error.line())
+            seldom.warn("tier", str(error))
             return
         self._hand(Heard(message))
 
--- a/ashcross/wire/asking.py
+++ b/ashcross/wire/asking.py
@@ -7,15 +7,18 @@
 import time
 from typing import Any
 
+from ashcross.errors import AshcrossError
 from ashcross.memory.buffers import BufferPool
 from ashcross.wire import jsonrpc
 
 ANSWER_MOST = 1 << 20
 
 
-class NoAnswer(Exception):
+class NoAnswer(AshcrossError):
     """The dispatcher could not be reached, or did not answer in time."""
 
+    remedy = "check that a dispatcher listens there (`ashcross ping --at HOST:PORT`) and what it logs"
+
 
 def ask(address: tuple[str, int], question: bytes, wait_s: float) -> jsonrpc.Answer:
     """Send one call and read its answer."""
@@ -27,14 +30,20 @@
                 connection.settimeout(left_s)
                 data = connection.recv(65_536)
                 if not data:
-                    raise NoAnswer("the connection was closed without an answer")
+                    raise NoAnswer(_at(address), "an answer", "the connection closed without one")
                 for body in reader.feed(data):
                     return jsonrpc.parse_answer(body)
     except OSError as error:
-        raise NoAnswer(str(error) or type(error).__name__) from None
-    except ValueError as error:
-        raise NoAnswer(f"an answer that cannot be read: {error}") from None
-    raise NoAnswer("timed out")
+        raise NoAnswer(_at(address), "an answer", str(error) or type(error).__name__) from None
+    except AshcrossError as error:
+        if isinstance(error, NoAnswer):
+            raise
+        raise NoAnswer(_at(address), "an answer", error.told()) from None
+    raise NoAnswer(_at(address), "an answer", f"none in {wait_s:g} s")
+
+
+def _at(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
 
 
 def rows(answer: jsonrpc.Answer) -> bytes:
--- a/ashcross/wire/bulletin.py
+++ b/ashcross/wire/bulletin.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 
 from ashcross.gateway.interface import Mode
-from ashcross.lifecycle.logs import seldom
+from ashcross.logs import seldom
 from ashcross.memory.buffers import BufferPool
 from ashcross.memory.fleet import Roster
 from ashcross.wire import sse
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -8,13 +8,12 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from ashcross.lifecycle.logs import seldom
-from ashcross.lifecycle.phases import Phases
-from ashcross.loop import Asked, Loop
+from ashcross.logs import seldom
 from ashcross.memory.book import RequestRecord
 from ashcross.memory.buffers import BufferPool
 from ashcross.wire import jsonrpc
 from ashcross.wire.framing import FramingError
+from ashcross.wire.hosting import Asked, ClientHost, Health
 from ashcross.wire.statement import group_of_tables, table_of
 
 FRESH_LOOKS = 2  # sweeps that a connection has seen once it could have been read for sure
@@ -175,7 +174,9 @@
                 if self._ended or self.parting:
                     return
         except FramingError as error:  # where the next call begins cannot be known any more
-            self._unusable(jsonrpc.CallError(jsonrpc.INVALID_REQUEST, str(error), None))
+            self._unusable(
+                jsonrpc.CallError(jsonrpc.INVALID_REQUEST, None, error.place, error.wanted, error.found)
+            )
             self.part()
             return
         self._clients.check_waiting()
@@ -199,7 +200,7 @@
         self._strike()
         # an error under an id that is open would be the answer of the request that has it
         ident = None if error.ident in self.open else error.ident
-        self._write(jsonrpc.error(ident, error.code, str(error)))
+        self._write(jsonrpc.error(ident, error.code, error.told()))
 
     def _strike(self) -> None:
         self.strikes += 1
@@ -211,9 +212,11 @@
         if call.method == "abort":
             self._abort(call)
         elif call.ident is None:
-            raise jsonrpc.CallError(jsonrpc.INVALID_REQUEST, "a query or ping without an id", None)
+            raise jsonrpc.CallError(jsonrpc.INVALID_REQUEST, None, "id", "one, for a query or ping", "none")
         elif call.ident in self.open:
-            raise jsonrpc.CallError(jsonrpc.INVALID_REQUEST, "the id is open already", None)
+            raise jsonrpc.CallError(
+                jsonrpc.INVALID_REQUEST, None, "id", "one that is not open", "one that is"
+            )
         elif call.method == "ping":
             self._write(jsonrpc.health(call.ident, self._clients.phases.well))
         else:
@@ -233,7 +236,9 @@
     def _query(self, call: jsonrpc.Call, ident: int, arrived_us: int) -> None:
         query, book = jsonrpc.parse_query(call, self._clients.known), self._loop.book
         if query.txn in book.requests:
-            raise jsonrpc.CallError(jsonrpc.INVALID_PARAMS, "params.txn: open already", ident)
+            raise jsonrpc.CallError(
+                jsonrpc.INVALID_PARAMS, ident, "params.txn", "one that is not open", "one that is"
+            )
         crowded = len(self.open) >= self._clients.limits.open_per_connection
         if crowded or book.full(len(query.statement)):
             self._write(jsonrpc.refusal(ident, 0))  # before the module: it never ran
@@ -276,8 +281,8 @@
     def __init__(
         self,
         reactor: Any,
-        loop: Loop,
-        phases: Phases,
+        loop: ClientHost,
+        phases: Health,
         known: jsonrpc.Known,
         pool: BufferPool,
         limits: ClientLimits,
@@ -324,13 +329,16 @@
 
         Of a fresh connection nothing is known: its call may not have been read yet. It goes last. One that
         is not read because its client takes its answers slowly makes no room: a request that was taken may
-        lie there unread, and would be lost with it.
+        lie there unread, and would be lost with it. So it may on each of them right after a standstill.
         """
         if self.rude:
             return next(iter(self.rude))
         oldest = next(iter(self.silent), None)
         if oldest is not None and oldest.looks >= FRESH_LOOKS:
             return oldest
+        self.loop.arrived_us()
+        if self.loop.stood_still:
+            return oldest
         rested = (link for link in self.links if link.calls and not link.open and not link.unread)
         return next(rested, oldest)
 
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -8,14 +8,15 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from ashcross.errors import AshcrossError, shown
 from ashcross.gateway.interface import NoteKind, Outcome
-from ashcross.lifecycle.logs import seldom
-from ashcross.loop import Loop
+from ashcross.logs import seldom
 from ashcross.memory.book import AttemptRecord, ProbeRecord, Stage
 from ashcross.memory.buffers import BufferPool
 from ashcross.memory.fleet import EngineRecord
 from ashcross.wire import resp
 from ashcross.wire.dialling import dial
+from ashcross.wire.hosting import EngineHost
 
 NOTES = {"pct": NoteKind.PROGRESS, "overflow": NoteKind.SPILLS, "queued": NoteKind.WAITS}
 ENDS = {"overload": Outcome.FULL, "crashed": Outcome.ERROR, "nobody": Outcome.MOOT}
@@ -39,9 +40,13 @@
     stuck_us: int = 20_000  # after which what was written and not taken by the kernel counts as stuck
 
 
-class Spoilt(ValueError):
+class Spoilt(AshcrossError):
     """An answer that no engine means: nothing more on its connection can be trusted."""
 
+    remedy = (
+        "its connection is closed, what was out there may have run; look at that engine if it comes often"
+    )
+
 
 class EngineLink(Protocol):
     """One connection, from the dial to its end."""
@@ -231,8 +236,8 @@
                 self._answered(words)
                 if self.ended:
                     return
-        except ValueError as error:  # of the framing, or of an answer's content
-            self._spoilt(str(error))
+        except AshcrossError as error:  # of the framing, or of an answer's content
+            self._spoilt(error.told())
         except Exception as error:
             seldom.warn("engine", f"{self.record.name}: an answer cannot be handled", error)
             self.close()
@@ -244,7 +249,7 @@
 
     def _answered(self, words: list[bytes]) -> None:
         if len(words) < 3:
-            raise Spoilt("an answer of fewer than three words")
+            raise Spoilt("answer", "three words or more", str(len(words)))
         ident, word = words[0].decode("latin-1"), words[1].decode("latin-1")
         fields, body = resp.fields(words[2]), words[3] if len(words) > 3 else b""
         probe = self.probes.pop(ident, None)
@@ -271,12 +276,12 @@
             attempt.ended = True
             self._loop.settle(attempt, ENDS[word])
         else:
-            raise Spoilt(f"the word {word[:20]!r} does not fit")
+            raise Spoilt("answer's word", "one that fits", shown(word))
 
     def _served(self, attempt: AttemptRecord, fields: dict[str, str], body: bytes) -> None:
         total = resp.count(fields.get("total", ""))
         if not 1 <= total <= self._engines.limits.pages_most:
-            raise Spoilt(f"{total} pages")
+            raise Spoilt("total", f"1 to {self._engines.limits.pages_most} pages", str(total))
         attempt.stage, attempt.missing = Stage.PAGES, total
         attempt.pages = [None] * total
         self._page(attempt, 0, body)
@@ -286,17 +291,17 @@
 
     def _page(self, attempt: AttemptRecord, index: int, body: bytes) -> None:
         if not 0 <= index < len(attempt.pages):
-            raise Spoilt(f"page {index} of {len(attempt.pages)}")
+            raise Spoilt("page", f"0 to {len(attempt.pages) - 1}", str(index))
         if attempt.pages[index] is not None:
             self._engines.unknown += 1
             return
         if not self._fits(body):
-            raise Spoilt("a page is no rows of three columns, or too long")
+            raise Spoilt("page", "rows of three columns within its size", "otherwise")
         attempt.pages[index] = body
         attempt.missing -= 1
         attempt.size += len(body)
         if attempt.size > self._engines.limits.answer_bytes:
-            raise Spoilt("the result is too long")
+            raise Spoilt("result", f"{self._engines.limits.answer_bytes} bytes at most", str(attempt.size))
         if not attempt.missing:
             attempt.ended = True
             self._loop.settle(attempt, Outcome.GOOD)
@@ -311,16 +316,19 @@
 
 def _figure(text: str) -> float:
     """A finite number, as notes bring them."""
-    figure = float(text)
+    try:
+        figure = float(text)
+    except ValueError:
+        figure = float("nan")
     if not abs(figure) < float("inf"):
-        raise Spoilt(f"{text[:20]!r} is no figure")
+        raise Spoilt("note", "a figure", shown(text))
     return figure
 
 
 class Engines:
     """Puts attempts and probes on connections, and dials."""
 
-    def __init__(self, reactor: Any, loop: Loop, pool: BufferPool, limits: EngineLimits) -> None:
+    def __init__(self, reactor: Any, loop: EngineHost, pool: BufferPool, limits: EngineLimits) -> None:
         self._reactor, self.loop, self.pool, self.limits = reactor, loop, pool, limits
         self.unknown = 0  # answers that named nothing open, or came twice
         self.spoilt = 0  # connections closed for what came on them
--- a/ashcross/wire/framing.py
+++ b/ashcross/wire/framing.py
@@ -5,14 +5,17 @@
 from collections.abc import Iterator
 from typing import Generic, TypeVar
 
+from ashcross.errors import AshcrossError
 from ashcross.memory.buffers import BufferPool, Chain
 
 Message = TypeVar("Message")
 
 
-class FramingError(ValueError):
+class FramingError(AshcrossError):
     """Bytes that break the form; nothing after them on that connection can be trusted."""
 
+    remedy = "the connection is ended and others go on; where it comes often, look at the peer that writes it"
+
 
 class Framer(Generic[Message]):
     """Cuts a stream into messages; what is not whole yet waits in pooled buffers."""
--- /dev/null
+++ b/ashcross/wire/hosting.py
@@ -0,0 +1,94 @@
+"""What the protocols need of who holds them: the loop's side, as interfaces below it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from ashcross.gateway import interface as api
+from ashcross.memory.book import AttemptRecord, Book, ProbeRecord, Replies, RequestRecord
+from ashcross.memory.fleet import Fleet
+from ashcross.wire import jsonrpc
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What a query asks for, beside its parameters: class, group of tables, and the key of its order."""
+
+    class_index: int
+    sort: str
+    tables: int
+    key: str | None = None
+
+
+class Gate(Protocol):
+    """Who may hold a request back before the module hears of it, or turn it away."""
+
+    def offer(self, request: RequestRecord, team: str | None) -> None:
+        """A request was taken; one call of `Loop.admit` or `Loop.turn_away` follows, now or later."""
+
+    def written(self, request: RequestRecord) -> None:
+        """An attempt of it goes out to an engine."""
+
+    def over(self, request: RequestRecord) -> None:
+        """It has its final answer, or nobody waits for it."""
+
+
+class Health(Protocol):
+    """What a ping is answered by."""
+
+    @property
+    def well(self) -> bool:
+        """May the front send more?"""
+
+
+class Clock(Protocol):
+    """Microseconds; never goes back."""
+
+    def __call__(self) -> int:
+        """Now."""
+
+
+class ClientHost(Protocol):
+    """The loop, as connections from clients use it."""
+
+    clock: Clock
+    book: Book
+    gate: Gate | None
+    opened_us: int  # since when clients may write here
+    fresh: bool  # until the first sweep: who comes may have waited since then
+    stood_still: bool  # before this look at the sockets, by the last call of `arrived_us`
+
+    def arrived_us(self) -> int:
+        """When bytes that are read now came at the earliest."""
+
+    def accept(
+        self, client: Replies, ident: int, asked: Asked, query: jsonrpc.Query, arrived_us: int
+    ) -> RequestRecord:
+        """Take a query in."""
+
+    def leave(self, request: RequestRecord) -> None:
+        """The client is gone or has given the request up; no answer is owed."""
+
+    def turn_out(self, request: RequestRecord) -> None:
+        """Its connection must make room: it is failed."""
+
+
+class EngineHost(Protocol):
+    """The loop, as connections to engines use it."""
+
+    clock: Clock
+    book: Book
+    fleet: Fleet
+
+    def settle(self, attempt: AttemptRecord, outcome: api.Outcome, own: bool = True) -> None:
+        """The one outcome of an attempt."""
+
+    def note(self, attempt: AttemptRecord, kind: api.NoteKind, value: float) -> None:
+        """Word on an attempt that is out."""
+
+    def probed(self, probe: ProbeRecord, outcome: api.Outcome, report: dict[str, float]) -> None:
+        """The one outcome of a probe."""
+
+    def written(self, attempt: AttemptRecord) -> None:
+        """The first byte of an attempt goes out."""
--- a/ashcross/wire/jsonrpc.py
+++ b/ashcross/wire/jsonrpc.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ashcross.errors import AshcrossError, shown
 from ashcross.memory.buffers import BufferPool
 from ashcross.wire.framing import Framer, FramingError
 
@@ -29,31 +30,33 @@
         end = data.find(b"\r\n\r\n", at, at + HEAD_MOST)
         if end < 0:
             if len(data) - at >= HEAD_MOST:
-                raise FramingError(f"a head is over {HEAD_MOST} bytes")
+                raise FramingError("head", f"{HEAD_MOST} bytes at most", "more")
             return len(data) + 1
         length = None
         for line in data[at:end].split(b"\r\n"):
             name, sign, value = line.partition(b":")
             if not sign:
-                raise FramingError("a line of a head has no colon")
+                raise FramingError("head", "a colon in each line", shown(line))
             if name.strip().lower() == b"content-length":
                 digits = value.strip()
                 if length is not None or not digits.isdigit() or len(digits) > 9:
-                    raise FramingError("the Content-Length of a head cannot be used")
+                    raise FramingError("Content-Length", "one length", shown(value))
                 length = int(digits)
         if length is None:
-            raise FramingError("a head has no Content-Length")
+            raise FramingError("head", "a Content-Length", "none")
         if length > self._body_most:
-            raise FramingError(f"a body of {length} bytes, over {self._body_most}")
+            raise FramingError("body", f"{self._body_most} bytes at most", str(length))
         start, stop = end + 4, end + 4 + length
         return (stop, data[start:stop]) if len(data) >= stop else stop
 
 
-class CallError(ValueError):
-    """A call that cannot be taken; `ident` names it where that is possible."""
+class CallError(AshcrossError):
+    """A call that cannot be taken; `ident` names it where that is possible, `code` is JSON-RPC's."""
 
-    def __init__(self, code: int, message: str, ident: int | None) -> None:
-        super().__init__(message)
+    remedy = "the client has to change its call; what it sent is answered with this error"
+
+    def __init__(self, code: int, ident: int | None, place: str, wanted: str, found: str = "") -> None:
+        super().__init__(place, wanted, found)
         self.code, self.ident = code, ident
 
 
@@ -71,18 +74,18 @@
     try:
         content = json.loads(body)
     except (ValueError, RecursionError):
-        raise CallError(PARSE_ERROR, "not JSON", None) from None
+        raise CallError(PARSE_ERROR, None, "call", "JSON", "otherwise") from None
     if not isinstance(content, dict):
-        raise CallError(INVALID_REQUEST, "not an object", None)
+        raise CallError(INVALID_REQUEST, None, "call", "an object", "otherwise")
     ident, method, params = content.get("id"), content.get("method"), content.get("params", {})
     if ident is not None and (type(ident) is not int or not 1 <= ident <= IDENT_MOST):
-        raise CallError(INVALID_REQUEST, f"the id is no whole number from 1 to {IDENT_MOST}", None)
+        raise CallError(INVALID_REQUEST, None, "id", f"a whole number from 1 to {IDENT_MOST}", "otherwise")
     if content.get("jsonrpc") != "2.0" or not isinstance(method, str):
-        raise CallError(INVALID_REQUEST, "not a JSON-RPC 2.0 call", ident)
+        raise CallError(INVALID_REQUEST, ident, "call", "JSON-RPC 2.0 with a method", "otherwise")
     if method == "abort" and isinstance(params, list) and len(params) == 1:
         params = {"id": params[0]}  # by place in place of by name
     if not isinstance(params, dict):
-        raise CallError(INVALID_PARAMS, "params is no object", ident)
+        raise CallError(INVALID_PARAMS, ident, "params", "an object", "otherwise")
     return Call(method, ident, params)
 
 
@@ -117,10 +120,10 @@
     """Read a query; `CallError` names what is at fault. What passes here an engine can read."""
     params = call.params
     if call.method not in known.classes:
-        raise CallError(UNKNOWN_METHOD, "no such method", call.ident)
+        raise CallError(UNKNOWN_METHOD, call.ident, "method", "a class of the settings", "another")
 
     def wrong(name: str, wanted: str) -> CallError:
-        return CallError(INVALID_PARAMS, f"params.{name}: wanted {wanted}", call.ident)
+        return CallError(INVALID_PARAMS, call.ident, f"params.{name}", wanted)
 
     def figure(name: str, least: float, most: float) -> float:
         value = params.get(name, 0)
@@ -211,6 +214,12 @@
     return error(ident, FAILED, "failed; the effect is not known")
 
 
+class AnswerError(AshcrossError):
+    """What a dispatcher sent back is no answer."""
+
+    remedy = "check that a dispatcher listens at that address, and its version"
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """An answer as a client reads it: a result, or an error's code."""
@@ -223,15 +232,18 @@
 
 
 def parse_answer(body: bytes) -> Answer:
-    """Read an answer; `ValueError` if it is none."""
-    content = json.loads(body)
+    """Read an answer; `AnswerError` if it is none."""
+    try:
+        content = json.loads(body)
+    except (ValueError, RecursionError):
+        raise AnswerError("answer", "JSON", shown(body)) from None
     if not isinstance(content, dict):
-        raise ValueError("not an object")
+        raise AnswerError("answer", "an object", shown(content))
     result, problem = content.get("result"), content.get("error")
     if isinstance(result, dict):
         return Answer(content.get("id"), result, 0, "", 0)
     if not isinstance(problem, dict) or not isinstance(problem.get("code"), int):
-        raise ValueError("neither a result nor an error")
+        raise AnswerError("answer", "a result or an error with a code", shown(content))
     later = (problem.get("data") or {}).get("later", 0)
     return Answer(content.get("id"), None, problem["code"], str(problem.get("message", "")), int(later))
 
--- a/ashcross/wire/resp.py
+++ b/ashcross/wire/resp.py
@@ -4,6 +4,7 @@
 
 import re
 
+from ashcross.errors import shown
 from ashcross.memory.buffers import BufferPool
 from ashcross.wire.framing import Framer, FramingError
 
@@ -35,7 +36,7 @@
             if len(data) < end + 2:
                 return end + 2
             if data[end : end + 2] != b"\r\n":
-                raise FramingError("a bulk string does not end where its length says")
+                raise FramingError("bulk string", "its end where its length says", "more")
             words.append(data[at:end])
             at = end + 2
         return at, words
@@ -46,15 +47,15 @@
     if at >= len(data):
         return None
     if data[at : at + 1] != mark:
-        raise FramingError(f"wanted {mark.decode()}, found byte {data[at]}")
+        raise FramingError("mark", mark.decode(), f"byte {data[at]}")
     end = data.find(b"\r\n", at, at + LINE_MOST)
     if end < 0:
         if len(data) - at >= LINE_MOST:
-            raise FramingError("a length line is too long")
+            raise FramingError("length", f"{LINE_MOST} digits at most", "more")
         return None
     digits = data[at + 1 : end]
     if not digits.isdigit() or int(digits) > most:
-        raise FramingError(f"length {digits[:LINE_MOST]!r} where at most {most} may stand")
+        raise FramingError("length", f"{most} at most", shown(digits[:LINE_MOST]))
     return end + 2, int(digits)
 
 
@@ -79,7 +80,7 @@
 def count(text: str) -> int:
     """A whole number of plain digits; `ValueError` for whatever else Python would read as one."""
     if not (text.isascii() and text.isdigit()) or len(text) > 9:
-        raise ValueError(f"{text[:20]!r} is no count")
+        raise FramingError("count", "a whole number", shown(text))
     return int(text)
 
 
--- a/ashcross/wire/roster.py
+++ b/ashcross/wire/roster.py
@@ -5,16 +5,19 @@
 import json
 from typing import Any
 
+from ashcross.errors import AshcrossError, shown
 from ashcross.gateway import interface as api
-from ashcross.lifecycle.logs import seldom
+from ashcross.logs import seldom
 from ashcross.memory.fleet import Entry, Roster
 
 MODES = {"Ready": api.Mode.READY, "Terminating": api.Mode.DRAINING, "Gone": api.Mode.GONE}
 ENTRIES_MOST, NAME_MOST = 100_000, 256
 
 
-class RosterError(ValueError):
-    """An event of the bulletin that cannot be used."""
+class RosterError(AshcrossError):
+    """An event of the bulletin, or an address, that cannot be used."""
+
+    remedy = "correct what the bulletin tells; until then its engine takes nothing new"
 
 
 def parse_event(text: str) -> Roster:
@@ -22,7 +25,7 @@
     try:
         content = json.loads(text)
     except (ValueError, RecursionError):
-        raise RosterError("not JSON") from None
+        raise RosterError("event", "JSON", shown(text)) from None
     return roster(content)
 
 
@@ -32,7 +35,7 @@
         body = content["roster"]
         entries = body["endpoints"]
         if not isinstance(entries, list) or len(entries) > ENTRIES_MOST:
-            raise RosterError("endpoints is no list, or too long a one")
+            raise RosterError("roster.endpoints", f"a list of {ENTRIES_MOST} at most", shown(entries))
         return Roster(
             number=_whole(content["no"]),
             version=_whole(body.get("index", 0)),
@@ -40,18 +43,18 @@
             entries=tuple(entry for item in entries if (entry := _usable(item)) is not None),
         )
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
-        raise RosterError(_why(error)) from None
+        raise RosterError("event", "the form of an event", _why(error)) from None
 
 
 def _whole(value: Any) -> int:
     if isinstance(value, int) and not isinstance(value, bool) and value >= 0:
         return value
-    raise RosterError(f"wanted a whole number, found {str(value)[:40]!r}")
+    raise RosterError("number", "a whole number", shown(value))
 
 
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not 0 < len(value) <= NAME_MOST:
-        raise RosterError(f"wanted a name, found {str(value)[:40]!r}")
+        raise RosterError("name", "a name", shown(value))
     return value
 
 
@@ -76,13 +79,13 @@
 def _entry(item: Any) -> Entry:
     status = _text(item["status"])
     if status not in MODES:
-        raise RosterError(f"unknown status {status[:40]!r}")
+        raise RosterError("status", f"one of {', '.join(MODES)}", shown(status))
     mode = MODES[status]
     gone = mode is api.Mode.GONE  # what has gone needs no address
     host, port = address(item.get("address"), gone)
     weight = item.get("weight", 1)
     if isinstance(weight, bool) or not isinstance(weight, (int, float)):
-        raise RosterError("weight is no number")
+        raise RosterError("weight", "a number", shown(weight))
     told = api.EngineEntry(
         engine=_text(item["name"]),
         zone=str(item.get("zone", "")),
@@ -102,4 +105,4 @@
         return host, int(port)
     if may_miss:
         return "", 0
-    raise RosterError(f"wanted host:port, found {str(value)[:40]!r}")
+    raise RosterError("address", "host:port", shown(value))
--- a/ashcross/wire/sse.py
+++ b/ashcross/wire/sse.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ashcross.errors import shown
 from ashcross.memory.buffers import BufferPool
 from ashcross.wire.framing import Framer, FramingError
 
@@ -37,12 +38,12 @@
         end = data.find(b"\r\n\r\n", at, at + HEAD_MOST)
         if end < 0:
             if len(data) - at >= HEAD_MOST:
-                raise FramingError("the response's head is too long")
+                raise FramingError("response's head", f"{HEAD_MOST} bytes at most", "more")
             return len(data) + 1
         status, *lines = data[at:end].decode("latin-1").split("\r\n")
         parts = status.split(" ", 2)
         if len(parts) < 2 or not parts[0].startswith("HTTP/1.") or parts[1] != "200":
-            raise FramingError(f"the response is {status[:80]!r}")
+            raise FramingError("response", "status 200", shown(status))
         pairs = (line.partition(":") for line in lines)
         return end + 4, {name.strip().lower(): value.strip() for name, _, value in pairs}
 
@@ -58,19 +59,19 @@
         end = data.find(b"\r\n", at, at + CHUNK_LINE_MOST)
         if end < 0:
             if len(data) - at >= CHUNK_LINE_MOST:
-                raise FramingError("the line before a chunk is too long")
+                raise FramingError("line before a chunk", "a length", "a longer line")
             return len(data) + 1
         digits = data[at:end].partition(b";")[0].strip()
         if not digits or not set(digits) <= set(b"0123456789abcdefABCDEF"):
-            raise FramingError("a chunk has no length")
+            raise FramingError("chunk", "a length", "none")
         length = int(digits, 16)
         if length > self._chunk_most:
-            raise FramingError(f"a chunk of {length} bytes, over {self._chunk_most}")
+            raise FramingError("chunk", f"{self._chunk_most} bytes at most", str(length))
         start = end + 2
         if len(data) < start + length + 2:
             return start + length + 2
         if data[start + length : start + length + 2] != b"\r\n":
-            raise FramingError("a chunk does not end where its length says")
+            raise FramingError("chunk", "its end where its length says", "more")
         return start + length + 2, data[start : start + length]
 
 
@@ -90,7 +91,7 @@
     def cut(self, data: bytes, at: int) -> tuple[int, str] | int:
         ends = [end for end in (data.find(b"\n", at), data.find(b"\r", at)) if end >= 0]
         if (min(ends) if ends else len(data)) - at > self._line_most:
-            raise FramingError(f"a line is over {self._line_most} bytes")
+            raise FramingError("line", f"{self._line_most} bytes at most", "more")
         if not ends:
             return len(data) + 1
         end = min(ends)
@@ -140,7 +141,7 @@
         if name == "data":
             self._size += len(value) + 1
             if self._size > self._event_most:
-                raise FramingError(f"an event is over {self._event_most} bytes")
+                raise FramingError("event", f"{self._event_most} bytes at most", "more")
             self._data.append(value)
         elif name == "id" and "\0" not in value:
             self._ident = value
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -394,6 +394,21 @@
     assert world.clients.buildProtocol(None) is not None and slow_wire.lost
 
 
+def test_right_after_a_standstill_no_connection_makes_room_that_may_hold_a_call() -> None:
+    """Seed 7337067 of the lab: stopped for 971 ms, a crowd was taken before two calls of then were read."""
+    world = ClientWorld(connections=2)
+    links = [world.connect() for _ in range(2)]
+    for link, _ in links:
+        link.dataReceived(jsonrpc.call("ping", 1, {}))
+    world.loop.beat(250_000)
+    world.now_us += 971_000
+    assert world.clients.buildProtocol(None) is None  # turned away: a refusal, which is harmless
+    assert not any(wire.lost for _, wire in links)
+    links[0][0].dataReceived(question(1))
+    world.run()
+    assert world.clients.buildProtocol(None) is not None and links[1][1].lost
+
+
 def test_a_client_that_does_not_read_is_read_no_more_and_bounded() -> None:
     world = ClientWorld()
     slow, slow_wire = world.connect()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -11,10 +11,11 @@
 
 from ashcross.gateway import interface as api
 from ashcross.gateway.interface import Outcome
-from ashcross.loop import Asked, HostLimits, Loop
+from ashcross.loop import HostLimits, Loop
 from ashcross.memory.book import AttemptRecord, Book, ProbeRecord, RequestRecord, Stage
 from ashcross.memory.fleet import EngineRecord, Fleet
 from ashcross.wire import jsonrpc
+from ashcross.wire.hosting import Asked
 from tests.test_memory import entry, roster
 
 START_US = 1_700_000_000_000_000
