--- a/ashcross/lab/commands.py
+++ b/ashcross/lab/commands.py
@@ -62,6 +62,7 @@
     run = command("run", "run seeds and judge them")
     seeds(run, "0:1000")
     run.add_argument("--mutant", default="", help="with this defect in the program")
+    run.add_argument("--world", choices=sorted(runner.WORLDS), default="dispatchers", help="what is run")
     show = command("show", "a readable timeline of one seed or script")
     replay = command("replay", "run one seed or script and judge it")
     shrinker = command("shrink", "find the smallest script that breaks the same rule")
@@ -79,6 +80,7 @@
     mutant = command("mutants", "put each known defect into the program and see whether it is found")
     seeds(mutant, "0:800")
     mutant.add_argument("--scripts", type=Path, metavar="FOLDER", help="kept scripts, run after the seeds")
+    mutant.add_argument("--world", choices=sorted(runner.WORLDS), default="dispatchers", help="whose mutants")
     mutant.add_argument("--only", default="", help="one mutant alone")
     cover = command("coverage", "how often each kind of fault met each stage of a request's life")
     seeds(cover, "0:1000")
@@ -123,7 +125,7 @@
 def _run(asked: argparse.Namespace) -> int:
     seeds, jobs, mutant = _seed_range(asked.seeds), _jobs(asked), _mutant(asked)
     with _progress(len(seeds), asked.json) as told:
-        summary = runner.run_many(seeds, jobs, mutant, told)
+        summary = runner.run_many(seeds, jobs, mutant, told, asked.world)
     if asked.json:
         print(json.dumps(_as_json(summary)))
     else:
@@ -251,7 +253,7 @@
     if asked.only and asked.only not in mutants.MUTANTS:
         raise Bad("--only", f"one of {', '.join(sorted(mutants.MUTANTS))}", shown(asked.only))
     kept = tuple(load(path) for path in sorted(asked.scripts.glob("*.json"))) if asked.scripts else ()
-    found = mutants.hunt(seeds, jobs, asked.only, kept)
+    found = mutants.hunt(seeds, jobs, asked.only, kept, asked.world)
     if asked.json:
         print(json.dumps([row.as_json() for row in found]))
     else:
--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -4,18 +4,19 @@
 
 import multiprocessing
 import signal
-from collections.abc import Callable, Iterable, Iterator
-from contextlib import AbstractContextManager, ExitStack, contextmanager, nullcontext
+from collections.abc import Iterable, Iterator
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import asdict, dataclass, replace
 from itertools import chain
 from typing import Any
-from unittest.mock import patch
 
 from ashcross.gateway import policy, state
 from ashcross.gateway.interface import Group, Mode, Outcome, Refuse
 from ashcross.gateway.policy import Gateway
-from ashcross.lab import world
+from ashcross.lab import tier_mutants, tier_world, world
+from ashcross.lab.defects import Mutant, Patch, nothing, patched, swap
 from ashcross.lab.script import Script, draw
+from ashcross.lab.world import Result
 from ashcross.lifecycle.clock import Clock
 from ashcross.lifecycle.service import Service
 from ashcross.loop import Loop
@@ -27,21 +28,6 @@
 from ashcross.wire.engines import EngineLink, Engines
 from ashcross.wire.framing import Framer
 
-Patch = tuple[Any, str, Any]  # of what, which attribute, what in its place
-
-
-@dataclass(frozen=True, slots=True)
-class Mutant:
-    """One defect: the rules that may be blamed for it, and what is put in the place of what."""
-
-    name: str
-    rules: tuple[str, ...]
-    patches: tuple[Patch, ...]
-
-
-def _nothing(*_: Any, **__: Any) -> None:
-    """Does nothing."""
-
 
 def _second_answer(link: Any, ident: int, frame: bytes) -> None:
     link.open.pop(ident, None)
@@ -49,11 +35,6 @@
     link._write(frame)
 
 
-def _swap(owner: Any, name: str, make: Callable[[Any], Any]) -> Patch:
-    """Replace a function by what `make` makes of it."""
-    return owner, name, make(getattr(owner, name))
-
-
 def _settings(**changes: Any) -> Patch:
     """The module is told other settings than the operators give."""
 
@@ -63,7 +44,7 @@
 
         return init
 
-    return _swap(Gateway, "__init__", make)
+    return swap(Gateway, "__init__", make)
 
 
 def _limits(**changes: Any) -> Patch:
@@ -75,7 +56,7 @@
 
         return init
 
-    return _swap(Loop, "__init__", make)
+    return swap(Loop, "__init__", make)
 
 
 def _any_group(whole: Any) -> Any:
@@ -185,7 +166,7 @@
 def _nothing_abandoned(whole: Any) -> Any:
     def advance(service: Any, now: int) -> None:
         if now >= service._quiet_us:
-            service.loop.abandon = _nothing
+            service.loop.abandon = nothing
             service._finish()
 
     return advance
@@ -263,62 +244,60 @@
 
 
 # a module that never gives a request up: the guard at the deadline answers in its place
-MUTE_MODULE: tuple[Patch, ...] = ((Gateway, "_end", _nothing),)
+MUTE_MODULE: tuple[Patch, ...] = ((Gateway, "_end", nothing),)
 
 _MADE = (
     Mutant("second-answer", ("answered",), ((ClientLink, "reply", _second_answer),)),
-    Mutant("answer-dropped-while-unread", ("answered",), (_swap(ClientLink, "_write", _drops_when_paused),)),
-    Mutant("pages-in-reverse", ("answered",), (_swap(jsonrpc, "rows", _reversed),)),
+    Mutant("answer-dropped-while-unread", ("answered",), (swap(ClientLink, "_write", _drops_when_paused),)),
+    Mutant("pages-in-reverse", ("answered",), (swap(jsonrpc, "rows", _reversed),)),
     Mutant("spoilt-page-passed-on", ("answered",), ((EngineLink, "_fits", _true),)),
-    Mutant("overdue-guard-removed", ("answered",), ((Loop, "_overdue", _nothing), *MUTE_MODULE)),
+    Mutant("overdue-guard-removed", ("answered",), ((Loop, "_overdue", nothing), *MUTE_MODULE)),
     Mutant("late-after-a-standstill", ("answered",), ((Loop, "arrived_us", _now),)),
     Mutant(
         "ends-at-sigterm",
         ("answered",),
-        (_swap(Service, "drain", _ends_at_once), (Loop, "abandon", _nothing)),
+        (swap(Service, "drain", _ends_at_once), (Loop, "abandon", nothing)),
     ),
-    Mutant("ends-with-open-requests", ("answered",), (_swap(Service, "_advance", _nothing_abandoned),)),
-    Mutant("silent-clients-stay", ("answered",), ((ClientLink, "look", _nothing),)),
+    Mutant("ends-with-open-requests", ("answered",), (swap(Service, "_advance", _nothing_abandoned),)),
+    Mutant("silent-clients-stay", ("answered",), ((ClientLink, "look", nothing),)),
     Mutant("clock-follows-steps", ("answered", "drain", "left"), ((world, "Clock", _SteppingClock),)),
     Mutant(
         "unsafe-again-after-reset", ("effect",), ((policy, "NEVER_RAN", (*policy.NEVER_RAN, Outcome.RESET)),)
     ),
-    Mutant("reset-told-as-refused", ("effect",), (_swap(EngineLink, "connectionLost", _reset_as_refused),)),
+    Mutant("reset-told-as-refused", ("effect",), (swap(EngineLink, "connectionLost", _reset_as_refused),)),
     Mutant("called-off-told-as-never-ran", ("effect",), ((Loop, "_called_off", staticmethod(_moot)),)),
-    Mutant("refuses-what-may-have-run", ("effect",), (_swap(Gateway, "_end", _always_refuse),)),
+    Mutant("refuses-what-may-have-run", ("effect",), (swap(Gateway, "_end", _always_refuse),)),
     Mutant("keyed-past-its-window", ("effect",), ((policy, "KEYED", 5.0),)),
-    Mutant("keyed-out-of-its-group", ("effect",), (_swap(Gateway, "__init__", _any_group),)),
-    Mutant("key-not-sent", ("fault", "effect"), (_swap(EngineLink, "_ask", _no_key),)),
-    Mutant("statement-trimmed", ("fault",), (_swap(EngineLink, "_ask", _trimmed),)),
+    Mutant("keyed-out-of-its-group", ("effect",), (swap(Gateway, "__init__", _any_group),)),
+    Mutant("key-not-sent", ("fault", "effect"), (swap(EngineLink, "_ask", _no_key),)),
+    Mutant("statement-trimmed", ("fault",), (swap(EngineLink, "_ask", _trimmed),)),
     Mutant("no-wait-after-kill", ("copies",), (_limits(kill_wait_us=0),)),
-    Mutant("no-kill", ("copies",), (_swap(EngineLink, "give_up", _no_kill),)),
-    Mutant("drain-1-ms-too-long", ("drain",), (_swap(Loop, "roster", _late_news),)),
+    Mutant("no-kill", ("copies",), (swap(EngineLink, "give_up", _no_kill),)),
+    Mutant("drain-1-ms-too-long", ("drain",), (swap(Loop, "roster", _late_news),)),
     Mutant(
         "drain-unheard",
         ("drain",),
-        (_swap(Fleet, "_apply", _never_draining), _swap(Gateway, "_members", _still_ready)),
+        (swap(Fleet, "_apply", _never_draining), swap(Gateway, "_members", _still_ready)),
     ),
-    Mutant("sends-before-the-backlog", ("drain",), ((Loop, "trust", _nothing),)),
-    Mutant("bulletin-never-again", ("drain",), ((Follower, "lost", _nothing),)),
-    Mutant("bulletin-silence-unheard", ("drain",), ((Follower, "check", _nothing),)),
-    Mutant("reload-unheard", ("drain",), ((Service, "reload", _nothing),)),
+    Mutant("sends-before-the-backlog", ("drain",), ((Loop, "trust", nothing),)),
+    Mutant("bulletin-never-again", ("drain",), ((Follower, "lost", nothing),)),
+    Mutant("bulletin-silence-unheard", ("drain",), ((Follower, "check", nothing),)),
+    Mutant("reload-unheard", ("drain",), ((Service, "reload", nothing),)),
     Mutant("cold-taken-for-warm", ("cold",), ((state.Engine, "warmth", _warm),)),
     Mutant("order-ignored", ("order",), ((Gateway, "_in_turn", _true),)),
-    Mutant("order-key-not-told", ("order",), ((clients, "table_of", _nothing),)),
+    Mutant("order-key-not-told", ("order",), ((clients, "table_of", nothing),)),
     Mutant("rest-of-key-forgotten", ("order",), ((policy, "UNSETTLED", ()),)),
-    Mutant(
-        "placed-elsewhere-when-down", ("placement",), (_swap(Gateway, "_may_send", _elsewhere_when_down),)
-    ),
+    Mutant("placed-elsewhere-when-down", ("placement",), (swap(Gateway, "_may_send", _elsewhere_when_down),)),
     Mutant("ration-ignored", ("ration",), (_settings(ration_window_us=0),)),
     Mutant("attempts-unbounded", ("ration",), (_settings(max_attempts=50), _limits(max_attempts=50))),
-    Mutant("clients-unbounded", ("bounds", "answered"), (_swap(Clients, "buildProtocol", _all_come),)),
+    Mutant("clients-unbounded", ("bounds", "answered"), (swap(Clients, "buildProtocol", _all_come),)),
     Mutant(
-        "accepts-unbounded", ("bounds",), ((Clients, "listens", _nothing), (Clients, "_accepted", _nothing))
+        "accepts-unbounded", ("bounds",), ((Clients, "listens", nothing), (Clients, "_accepted", nothing))
     ),
     Mutant(
         "standstill-unheard-at-the-door",
         ("answered",),
-        ((Loop, "stood_still", property(lambda loop: False, _nothing)),),
+        ((Loop, "stood_still", property(lambda loop: False, nothing)),),
     ),
     Mutant("unread-links-make-room", ("answered",), ((ClientLink, "unread", False),)),
     Mutant(
@@ -327,30 +306,22 @@
         (
             (EngineLink, "stuck", _false),
             (EngineLink, "give_up", _word_only),
-            (EngineLink, "_expect_sent", _nothing),
-            (Engines, "drained", _nothing),
+            (EngineLink, "_expect_sent", nothing),
+            (Engines, "drained", nothing),
         ),
     ),
-    Mutant("request-leaked", ("left",), (_swap(Book, "sweep", _kept),)),
-    Mutant("buffers-leaked", ("left",), ((Framer, "close", _nothing),)),
-    Mutant("connection-leaked", ("left",), ((Engines, "sweep", _nothing),)),
-    Mutant("client-link-leaked", ("left",), ((Clients, "went", _nothing),)),
-    Mutant("module-stumbles", ("fault",), (_swap(Gateway, "_health", _stumbles),)),
+    Mutant("request-leaked", ("left",), (swap(Book, "sweep", _kept),)),
+    Mutant("buffers-leaked", ("left",), ((Framer, "close", nothing),)),
+    Mutant("connection-leaked", ("left",), ((Engines, "sweep", nothing),)),
+    Mutant("client-link-leaked", ("left",), ((Clients, "went", nothing),)),
+    Mutant("module-stumbles", ("fault",), (swap(Gateway, "_health", _stumbles),)),
 )
-MUTANTS = {mutant.name: mutant for mutant in _MADE}
-
-
-@contextmanager
-def _patched(mutant: Mutant) -> Iterator[None]:
-    with ExitStack() as stack:
-        for owner, name, made in mutant.patches:
-            stack.enter_context(patch.object(owner, name, made))
-        yield
+MUTANTS = {mutant.name: mutant for mutant in (*_MADE, *tier_mutants.MADE)}
 
 
 def applied(name: str) -> AbstractContextManager[None]:
     """The context in which the program has a mutant's defect; an empty name is the plain program."""
-    return _patched(MUTANTS[name]) if name else nullcontext()
+    return patched(MUTANTS[name]) if name else nullcontext()
 
 
 @dataclass(frozen=True, slots=True)
@@ -384,8 +355,7 @@
     """Run seeds, then kept scripts, with a mutant until one breaks its own rule."""
     mutant, others, count, seed = MUTANTS[name], dict[str, None](), 0, 0
     with applied(name):
-        for count, script in enumerate(chain(map(draw, seeds), scripts), 1):
-            result, seed = world.run(script), script.seed
+        for count, (result, seed) in enumerate(_runs(mutant, seeds, scripts), 1):
             own = next((one for one in result.breaks if one.rule in mutant.rules), None)
             if own is not None:
                 return Row(name, mutant.rules, True, seed, count, f"{own.rule}: {own.text}", tuple(others))
@@ -394,13 +364,30 @@
     return Row(name, mutant.rules, False, seed, count, "", tuple(others))
 
 
+def _runs(mutant: Mutant, seeds: Iterable[int], scripts: tuple[Script, ...]) -> Iterator[tuple[Result, int]]:
+    if mutant.world == "tier":
+        yield from ((tier_world.run(tier_world.draw(seed)), seed) for seed in seeds)
+        return
+    yield from ((world.run(script), script.seed) for script in chain(map(draw, seeds), scripts))
+
+
 def _seek(asked: tuple[str, range, tuple[Script, ...]]) -> Row:
     return seek(*asked)
 
 
-def hunt(seeds: range, jobs: int, only: str = "", scripts: tuple[Script, ...] = ()) -> list[Row]:
-    """Seek every mutant, or one alone; in the order of the list."""
-    asked = [(name, seeds, scripts) for name in MUTANTS if not only or name == only]
+def hunt(
+    seeds: range,
+    jobs: int,
+    only: str = "",
+    scripts: tuple[Script, ...] = (),
+    which: str = "dispatchers",
+) -> list[Row]:
+    """Seek every mutant of a world, or one alone; in the order of the list."""
+    asked = [
+        (name, seeds, scripts)
+        for name, mutant in MUTANTS.items()
+        if (name == only if only else mutant.world == which)
+    ]
     if jobs <= 1 or len(asked) == 1:
         return [_seek(one) for one in asked]
     with multiprocessing.get_context("fork").Pool(jobs, initializer=ignore_interrupt) as pool:
--- a/ashcross/lab/runner.py
+++ b/ashcross/lab/runner.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from types import FrameType
 
-from ashcross.lab import mutants, script, world
+from ashcross.lab import mutants, script, tier_world, world
 from ashcross.lab.world import Result
 
 HANG_S = 60.0  # of real time for one seed; a script takes a tenth of a second
@@ -38,22 +38,30 @@
         signal.signal(signal.SIGALRM, before)
 
 
-def run_seed(seed: int, mutant: str = "") -> Result:
+def run_seed(seed: int, mutant: str = "", which: str = "dispatchers") -> Result:
     """Draw a seed's script and run it, with a mutant's defect in the program if one is named."""
     try:
         with watchdog(HANG_S), mutants.applied(mutant):
-            return world.run(script.draw(seed))
+            return WORLDS[which](seed)
     except Hung as error:
         return Result(seed, "", [], {}, 0, 0, 0.0, 0, {}, error=f"Hung: {error}")
 
 
-def _job(asked: tuple[int, str]) -> Result:
+WORLDS: dict[str, Callable[[int], Result]] = {
+    "dispatchers": lambda seed: world.run(script.draw(seed)),
+    "tier": lambda seed: tier_world.run(tier_world.draw(seed)),
+}
+
+
+def _job(asked: tuple[int, str, str]) -> Result:
     return run_seed(*asked)
 
 
-def results(seeds: Iterable[int], jobs: int, mutant: str = "") -> Iterator[Result]:
+def results(
+    seeds: Iterable[int], jobs: int, mutant: str = "", which: str = "dispatchers"
+) -> Iterator[Result]:
     """Run seeds as they come; results come in any order."""
-    asked = [(seed, mutant) for seed in seeds]
+    asked = [(seed, mutant, which) for seed in seeds]
     if jobs <= 1:
         yield from map(_job, asked)
         return
@@ -120,12 +128,16 @@
 
 
 def run_many(
-    seeds: Iterable[int], jobs: int, mutant: str = "", told: Callable[[Result], None] | None = None
+    seeds: Iterable[int],
+    jobs: int,
+    mutant: str = "",
+    told: Callable[[Result], None] | None = None,
+    which: str = "dispatchers",
 ) -> Summary:
     """Run seeds; an interrupt ends it early, with what there is."""
     summary, began_s = Summary(), time.monotonic()
     try:
-        for result in results(seeds, jobs, mutant):
+        for result in results(seeds, jobs, mutant, which):
             summary.add(result)
             if told is not None:
                 told(result)
--- a/ashcross/operator/records.py
+++ b/ashcross/operator/records.py
@@ -16,6 +16,7 @@
 from ashcross.errors import shown
 from ashcross.operator.cue import CueError, Read, read
 from ashcross.quota.terms import Quota, parse
+from ashcross.tier.term import LEASE_LEAST
 
 MEMBERS_MOST = 1_024
 AT = re.compile(r" - at `\$(?P<path>[^`]*)`")
@@ -93,6 +94,13 @@
     twice = next((name for i, name in enumerate(names) if name in names[:i]), None)
     if twice is not None:
         raise CueError(got.place("tier.members"), "each name once", f"{twice!r} twice")
+    tier = record.tier
+    if tier.lease_ms < LEASE_LEAST * tier.period_ms:
+        raise CueError(
+            got.place("tier.lease_ms"),
+            f"{LEASE_LEAST} times period_ms ({tier.period_ms}) or more",
+            str(tier.lease_ms),
+        )
     line = got.places.get("quotas", (1, 1))[0]
     quotas = parse(record.quotas, path, line)
     return Orders(record, quotas)
--- a/ashcross/tier/budget.py
+++ b/ashcross/tier/budget.py
@@ -17,6 +17,7 @@
 
 from ashcross.tier.rates import MARGIN
 
+KEPT = 4  # one part in so many of a burst may be tokens that could still be given back
 Name = tuple[int, bytes]  # quota's number, and the key of whom it counts
 
 
@@ -203,17 +204,13 @@
     seq: int = 0  # of the last ask, and when it was made
     asked_us: int = 0
     waits: bool = False  # is that unanswered?
+    lent: int = 0  # what the lender counts on since the last answer
     dry_until_us: int = 0  # told that nothing comes before
     part: float = 0.0  # of the apart part; nothing while that is pledged
     part_us: int = 0
     wanted: float = 0.0  # smoothed demand, a second
     wanted_us: int = 0
 
-    @property
-    def held(self) -> int:
-        """What its lender has to count on."""
-        return self.tokens + self.pending
-
 
 class Holder:
     """The tokens of one process. Nothing is spent by what may be out of date: each look asks for the time."""
@@ -272,6 +269,17 @@
             if empty and self.free_since_us is None:
                 del self.holds[name]
 
+    def told(self, name: Name, hold: Hold) -> int:
+        """What its lender has to count on, as an ask tells it.
+
+        What may still be given back stands in the way of what comes in: over a quarter of the burst it counts
+        as used.
+        """
+        if hold.pending * KEPT > self.limits[name[0]].burst:
+            hold.pending = 0
+            hold.loan += 1
+        return hold.tokens + hold.pending
+
     @staticmethod
     def may_take(now: int, hold: Hold) -> bool:
         """Is there a token, of what was lent or of the apart part?"""
--- a/ashcross/tier/messages.py
+++ b/ashcross/tier/messages.py
@@ -102,7 +102,13 @@
     head: Head
 
 
-Message = Ping | Ack | PingReq | Ask | Grant | Leave
+class Pass(msgspec.Struct, tag=7, array_like=True, frozen=True):
+    """News of a round, passed on at once."""
+
+    head: Head
+
+
+Message = Ping | Ack | PingReq | Ask | Grant | Leave | Pass
 
 
 class Codec:
--- a/ashcross/tier/node.py
+++ b/ashcross/tier/node.py
@@ -12,13 +12,17 @@
 from dataclasses import dataclass, field
 
 from ashcross.tier import messages as wire
-from ashcross.tier.budget import Hold, Holder, Lender, Limit, Name
+from ashcross.tier.budget import KEPT, Hold, Holder, Lender, Limit, Name
 from ashcross.tier.membership import Membership, Probe
 from ashcross.tier.rates import surely_us
 from ashcross.tier.term import Key, Term
 
 UPDATES = 24  # on one datagram beside a ballot of 1,024 members
 ITEMS = 32  # of one ask
+FANOUT, DIRECT = (
+    2,
+    24,
+)  # members told of a new round at once, and those of a fleet that answer its steward straight
 RETRY_US = 60_000  # an ask that is not answered is made anew
 AHEAD_S, LOW_S = 0.3, 0.1  # demand that is asked for ahead, and what is left of it when that is done
 DRY_LEAST_US, DRY_MOST_US = 20_000, 500_000  # between two asks of a holder that was told there is nothing
@@ -233,8 +237,11 @@
         for update in head.updates:
             self.members.take(now, update)
         if head.ballot is not None:
+            before = (self.term.key, self.term.round)
             self.term.hear(now, head.ballot)
             self._look(now)
+            if (self.term.key, self.term.round) != before:
+                self._pass_on(now)
         match message:
             case wire.Ping(_, seq):
                 self._tell(head.member, wire.Ack(self._head(head.member), seq, self.s.me))
@@ -259,10 +266,27 @@
             case _:
                 pass
 
+    def _pass_on(self, now: int) -> None:
+        """A new round: to a few at random, and back to its steward from so many of all as a small fleet has.
+
+        So a round is with all in a few message times, and what one process sends for it does not grow with
+        them.
+        """
+        live, steward = self.members.live(now), self.term.key[1]
+        others = [i for i in range(self.s.count) if live >> i & 1 and i not in (self.s.me, steward)]
+        chosen = self._draw.sample(others, min(FANOUT, len(others)))
+        if steward != self.s.me and self._draw.random() * self.s.count < DIRECT:
+            chosen.append(steward)
+        for member in chosen:
+            self._tell(member, wire.Pass(self._head(member)))
+
     def _tick(self, now: int) -> None:
+        before = (self.term.key, self.term.round)
         live = self.members.live(now)
         first = (live & -live).bit_length() - 1
         self.term.tick(now, live, first == self.s.me and not self.ended)
+        if (self.term.key, self.term.round) != before:
+            self._pass_on(now)
         if not self.ended:
             for probe in self.members.tick(now):
                 self._probe(probe)
@@ -328,15 +352,15 @@
         items: list[tuple[int, bytes, int, int]] = []
         for name in list(self._hungry):
             hold = self.holder.hold(now, name)
-            if hold is None or now < hold.dry_until_us:
+            if hold is None or now < hold.dry_until_us and not self._stands_in_the_way(name, hold):
                 del self._hungry[name]
                 continue
             if hold.waits and now - hold.asked_us < RETRY_US:
                 continue
             want = self._want(now, name, hold)
             del self._hungry[name]
-            if want > 0:
-                items.append((*name, want, hold.held))
+            if want > 0 or self._stands_in_the_way(name, hold):
+                items.append((*name, want, self.holder.told(name, hold)))
         for at in range(0, len(items), ITEMS):
             self._ask_for(now, steward, tuple(items[at : at + ITEMS]))
 
@@ -353,6 +377,10 @@
             return
         self._tell(steward, wire.Ask(self._head(steward), self.term.key, self._seq, items))
 
+    def _stands_in_the_way(self, name: Name, hold: Hold) -> bool:
+        """Does the lender count on much of a small burst that is used up here? Then nothing comes in there."""
+        return not hold.tokens and hold.lent * KEPT > self.s.limits[name[0]].burst
+
     def _want(self, now: int, name: Name, hold: Hold) -> int:
         waiting = sum(name in one.names for one in self._waiting)
         ahead = self._demand(now, hold) * AHEAD_S
@@ -383,6 +411,7 @@
             if now < until_us:
                 hold.tokens += granted
                 hold.until_us = until_us
+            hold.lent = hold.tokens + hold.pending
             if wait_us:
                 hold.dry_until_us = now + max(DRY_LEAST_US, min(DRY_MOST_US, wait_us))
 
@@ -431,7 +460,7 @@
             [(name, self.holder.take(now, hold)) for name, hold in zip(one.names, holds, strict=True)]
         )
         for name, hold in zip(one.names, holds, strict=True):
-            if hold.tokens < self._demand(now, hold) * LOW_S:
+            if hold.tokens < self._demand(now, hold) * LOW_S or self._stands_in_the_way(name, hold):
                 self._hungry[name] = None
         self.counts["granted"] += 1
         self._actions.append(Granted(one.ident))
--- a/ashcross/tier/term.py
+++ b/ashcross/tier/term.py
@@ -19,7 +19,8 @@
 from ashcross.tier.rates import surely_us
 
 ROUNDS = 8  # rounds in a lease at most
-PATIENCE = 3  # a round that not all have joined ends after a lease through this
+PATIENCE = 3  # a round that a majority and not all have joined ends after a lease through this
+LEASE_LEAST = 8  # periods of the membership in a lease at least: a round has to come round in it
 Key = tuple[int, int, int]  # number, steward, its process
 
 
@@ -59,6 +60,8 @@
         self._began_us: dict[int, int] = {}  # of the own rounds that may still bring promises
         self._stand_us = self.fresh_until_us
         self._bytes = (count + 7) // 8
+        self._newest: dict[int, tuple[int, tuple[int, int]]] = {}  # by steward: process, and its newest round
+        self._other_us = -(1 << 62)  # when another steward's or candidate's round was last seen to go on
 
     # ------------------------------------------------------------- gossip
 
@@ -71,23 +74,39 @@
     def hear(self, now: int, ballot: Ballot) -> None:
         """Take in what somebody passes on."""
         key, bits = (ballot.number, ballot.steward, ballot.life), bits_of(ballot.bits)
-        if not 0 <= ballot.steward < self.count or bits >> self.count or ballot.number < 1:
+        if not 0 <= ballot.steward < self.count or bits >> self.count or min(ballot.number, ballot.round) < 1:
             return
         self.highest = max(self.highest, ballot.number)
-        if key < self.key or self.promised not in (None, key) and now < self.promised_until_us:
-            return  # an old one, or a promise to another stands: not even passed on
-        if key != self.key:
-            self.key, self.round, self.bits = key, ballot.round, bits
-            self._began_us.clear()
-        elif ballot.round > self.round:
-            self.round, self.bits = ballot.round, bits
-        elif ballot.round == self.round:
+        goes_on = self._goes_on(now, ballot)
+        if key == self.key and ballot.round == self.round:
             self.bits |= bits
-        else:
+        elif key[1:] == self.key[1:] and (key[0], ballot.round) < (self.key[0], self.round):
+            return  # an old round
+        elif self._bound_elsewhere(now, key) or not goes_on:
+            # a promise to another stands; or nothing tells this round from one of long ago that was under way
             return
+        else:
+            if key != self.key:
+                self._began_us.clear()
+            self.key, self.round, self.bits = key, ballot.round, bits
         self._join(now)
         self._count(now)
 
+    def _goes_on(self, now: int, ballot: Ballot) -> bool:
+        """Is this the newest round heard of from that process? Then it lives, and is heard by others too."""
+        seen = (ballot.number, ballot.round)
+        life, newest = self._newest.get(ballot.steward, (0, (0, 0)))
+        if life == ballot.life and seen <= newest:
+            return False
+        self._newest[ballot.steward] = (ballot.life, seen)
+        if ballot.steward != self.me:
+            self._other_us = now
+        return True
+
+    def _bound_elsewhere(self, now: int, key: Key) -> bool:
+        """Does a promise to another process stand? Which number it stands under does not matter."""
+        return self.promised is not None and self.promised[1:] != key[1:] and now < self.promised_until_us
+
     def _join(self, now: int) -> None:
         """Promise in the round, once; the promise is counted from now, which is after the round began."""
         bit = 1 << self.me
@@ -115,6 +134,7 @@
             self.lease_until_us = max(self.lease_until_us, until_us)
 
     def _is_mine(self) -> bool:
+        """Is the ballot that is passed on this process's own?"""
         return (self.key[1], self.key[2]) == (self.me, self.life)
 
     def holds(self, now: int) -> bool:
@@ -140,13 +160,16 @@
             began_us = self._began_us.get(self.round, now)
             age_us = now - began_us
             joined = not live & ~self.bits
-            due = age_us >= self.lease_us // PATIENCE or joined and age_us >= self.lease_us // ROUNDS
-            # a candidate that a lease brought no majority stands back
-            if due and (now < self.lease_until_us or self.round < PATIENCE):
+            many = 2 * self.bits.bit_count() > self.count
+            due = joined and age_us >= self.lease_us // ROUNDS or many and age_us >= self.lease_us // PATIENCE
+            # a round that is slow to come round is not cut short: its promises would be lost with it
+            if due or age_us >= 3 * self.lease_us // 4 and now < self.lease_until_us:
                 self._begin(now, self.round + 1)
             return
         if not first or not self.free(now) or now < self._stand_us or 2 * live.bit_count() <= self.count:
             return
+        if now - self._other_us < self.lease_us // 2:
+            return  # somebody's rounds go on: this process joins the next of them
         # others may stand at the same time: who fails waits for a while that is its own
         self._stand_us = now + self.lease_us + int(self._draw.random() * self.lease_us)
         self.highest += 1
