Let one wait serve the process tests, and check that serve loads no part of the tier

Found on a second read (duplicates): tests/test_serve.py and lab/processes.py waited by the same lines. The import test names tier, quota and operator now: none is loaded without an operator's file.

--- a/ashcross/lab/processes.py
+++ b/ashcross/lab/processes.py
@@ -51,6 +51,17 @@
     return ports
 
 
+def wait_for(what: str, ready: Callable[[], Any], bound_s: float = START_S) -> Any:
+    """Look again and again until something is so; an error names what was waited for in vain."""
+    until_s = time.monotonic() + bound_s
+    while time.monotonic() < until_s:
+        got = ready()
+        if got:
+            return got
+        time.sleep(0.02)
+    raise AssertionError(f"waited in vain for {what}")
+
+
 class Processes:
     """`count` dispatchers d0, d1, ... with one operator's file; `quotas` is its text of quotas."""
 
@@ -114,16 +125,6 @@
         """All that a dispatcher has logged."""
         return (self.folder / f"d{number}.log").read_text(encoding="utf-8", errors="replace")
 
-    def wait(self, what: str, ready: Callable[[], Any], bound_s: float = START_S) -> Any:
-        """Look again and again until something is so; an error names what was waited for in vain."""
-        until_s = time.monotonic() + bound_s
-        while time.monotonic() < until_s:
-            got = ready()
-            if got:
-                return got
-            time.sleep(0.02)
-        raise AssertionError(f"waited in vain for {what}")
-
     def well(self, number: int) -> bool:
         """Does this dispatcher answer pings with well?"""
         try:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -348,4 +348,5 @@
         "lark",
         "click",
     }
-    assert not {name for name in loaded if name.startswith("ashcross.lab")}
+    switched_on = ("ashcross.lab", "ashcross.tier", "ashcross.quota", "ashcross.operator")
+    assert not {name for name in loaded if name.startswith(switched_on)}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ashcross.lab.processes import Entry, Load, Processes, passed
+from ashcross.lab.processes import Entry, Load, Processes, passed, wait_for
 
 QUOTA = "quota each { per team limit 600 in 60s burst 20 apart 30% }"
 
@@ -34,20 +34,20 @@
 
 def test_a_quota_is_kept_by_three_processes_through_a_cut(fleet: Processes) -> None:
     for number in range(3):
-        fleet.wait(f"d{number}", partial(fleet.well, number))
+        wait_for(f"d{number}", partial(fleet.well, number))
     loads = [Load(fleet, number, 0.02) for number in range(3)]
     try:
         for number in range(3):
-            fleet.wait("tokens", partial(more_than, fleet, number, 0, 2))
+            wait_for("tokens", partial(more_than, fleet, number, 0, 2))
         fleet.relay.cut([0, 1], [2])
         cut_ns = time.monotonic_ns()
         for number in range(3):  # both sides go on: the larger with its quorum, the other on its apart part
-            fleet.wait(f"d{number} in the cut", partial(more_than, fleet, number, cut_ns, 5))
+            wait_for(f"d{number} in the cut", partial(more_than, fleet, number, cut_ns, 5))
         cut_s = (time.monotonic_ns() - cut_ns) / 1e9
         alone = len(served(fleet, 2, cut_ns))
         fleet.relay.heal()
         healed_ns = time.monotonic_ns()
-        fleet.wait("healing", partial(more_than, fleet, 2, healed_ns, 10))
+        wait_for("healing", partial(more_than, fleet, 2, healed_ns, 10))
     finally:
         for load in loads:
             load.end()
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -12,7 +12,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from functools import partial
 from pathlib import Path
 from typing import IO, Any
@@ -20,6 +20,7 @@
 import pytest
 
 from ashcross.cli import main
+from ashcross.lab.processes import wait_for
 from ashcross.memory.buffers import BufferPool
 from ashcross.wire import asking, jsonrpc
 
@@ -27,16 +28,6 @@
 LONG_S = 20.0  # bound of every wait: only a broken dispatcher or a machine that stands still takes it
 
 
-def wait_for(what: str, ready: Callable[[], Any]) -> Any:
-    until_s = time.monotonic() + LONG_S
-    while time.monotonic() < until_s:
-        got = ready()
-        if got:
-            return got
-        time.sleep(0.02)
-    raise AssertionError(f"waited in vain for {what}")
-
-
 class Program:
     """A process whose lines are read as they come."""
 
