Drop what the tier's first version left unused

Found on a second read: Term.standing and its record, Membership.deaf, a field of Node and one of the tier's world that nothing read, a record around one list, a time that resign never used; the span in which use is judged is named once.

--- a/ashcross/lab/tier_world.py
+++ b/ashcross/lab/tier_world.py
@@ -42,6 +42,7 @@
 KEY = b"the laboratory's"
 QUEUE_MOST = 256  # datagrams that the kernel keeps for a process that stands still
 PATIENCE_US = 80_000
+LAST_US = 4_000_000  # at the end, in which use is judged
 USE = 0.8  # of what could be admitted in the calm at the end
 LATE_US = 100_000  # that an answer of the gate may take beyond patience and a tick, of a process that runs
 
@@ -225,7 +226,6 @@
         self._got: dict[tuple[int, bytes], int] = {}
         self._spent: list[tuple[int, tuple[int, bytes]]] = []
         self._requests = 0
-        self._steward: int | None = None
 
     # ------------------------------------------------------------- timeline
 
@@ -323,7 +323,7 @@
         name = (stream.quota, key[:16])
         self._asked[ident] = (process.number, self.now, name, process.starts)
         self.tally["taken"] += 1
-        if self.now >= self.script.length_us - 4_000_000:
+        if self.now >= self.script.length_us - LAST_US:
             self._offered.setdefault(name, []).append(self.now)
         process.hand(Charge(ident, (name,), process.clock() + 2_000_000))
         wait_us = PATIENCE_US + self.script.period_us // 4 + LATE_US
@@ -406,7 +406,7 @@
             tokens, then_us = self._buckets.get(name, (burst, 0))
             tokens = min(burst, tokens + (at_us - then_us) * rate / 1e6) - 1.0
             self._buckets[name] = (tokens, at_us)
-            self._got[name] = self._got.get(name, 0) + (at_us >= self.script.length_us - 4_000_000)
+            self._got[name] = self._got.get(name, 0) + (at_us >= self.script.length_us - LAST_US)
             if tokens < -1e-6:
                 self.now = at_us
                 self.broke("limit", f"{name} is passed by {-tokens:.3f} at {at_us / 1e6:.3f} s")
@@ -416,7 +416,7 @@
         """In the calm at the end the limit is used, not just kept."""
         for name, offered in self._offered.items():
             rate, burst, _ = self.script.limits[name[0]]
-            tokens, then_us, could, got = 0.0, self.script.length_us - 4_000_000, 0, self._got.get(name, 0)
+            tokens, then_us, could, got = 0.0, self.script.length_us - LAST_US, 0, self._got.get(name, 0)
             for at_us in offered:  # one central counter that has nothing at the begin
                 tokens, then_us = min(burst, tokens + (at_us - then_us) * rate / 1e6), at_us
                 could += tokens >= 1.0
--- a/ashcross/tier/membership.py
+++ b/ashcross/tier/membership.py
@@ -96,10 +96,6 @@
                 bits |= 1 << member.number
         return bits
 
-    def deaf(self, now: int, after_us: int) -> bool:
-        """Was nothing heard of anybody for so long?"""
-        return self.count > 1 and now - self.heard_us >= after_us
-
     def _log(self) -> float:
         return max(1.0, log10(self.count + 1))
 
--- a/ashcross/tier/node.py
+++ b/ashcross/tier/node.py
@@ -9,13 +9,13 @@
 
 import random
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ashcross.tier import messages as wire
 from ashcross.tier.budget import KEPT, Hold, Holder, Lender, Limit, Name
 from ashcross.tier.membership import Membership, Probe
 from ashcross.tier.rates import surely_us
-from ashcross.tier.term import Key, Term
+from ashcross.tier.term import Term
 
 UPDATES = 24  # on one datagram beside a ballot of 1,024 members
 ITEMS = 32  # of one ask
@@ -131,13 +131,6 @@
     until_us: int
 
 
-@dataclass(eq=False, slots=True)
-class Taken:
-    """The tokens of a request that may still give them back."""
-
-    tokens: list[tuple[Name, int]] = field(default_factory=list)
-
-
 class Node:
     """One process of the tier. `draw` is its random source; `life` tells it from earlier ones of its name."""
 
@@ -148,12 +141,11 @@
         self.holder = Holder(settings.limits, settings.count, NAMES_MOST)
         self.lender: Lender | None = None
         self._waiting: deque[Waiting] = deque()
-        self._taken: dict[str, Taken] = {}
+        self._taken: dict[str, list[tuple[Name, int]]] = {}  # tokens that may still come back, by loan
         self._relays: dict[int, tuple[int, int]] = {}  # numbers of pings made for others: who, and its number
         self._relay_seq = 1 << 32
         self._seq = 0
         self._hungry: dict[Name, None] = {}  # holds that want an ask
-        self._term_told: Key | None = None
         self.ended = False
         self.counts = {"granted": 0, "refused": 0, "asks": 0, "lent": 0, "foreign": 0}
         self._actions: list[Action] = []
@@ -170,8 +162,7 @@
             case Charge():
                 self._charge(now, event)
             case Settle(ident, spent):
-                taken = self._taken.pop(ident, None)
-                for name, loan in taken.tokens if taken is not None else ():
+                for name, loan in self._taken.pop(ident, ()):
                     self.holder.back(now, name, loan, spent)
                 self._waiting = deque(one for one in self._waiting if one.ident != ident)
             case End():
@@ -300,7 +291,7 @@
     def _end(self) -> None:
         """Give up what is held; the term's promises end by themselves."""
         self.ended = True
-        self.term.resign(0)
+        self.term.resign()
         self.lender = None
         live = self.members.live(1 << 62)
         for member in range(self.s.count):
@@ -456,9 +447,9 @@
         self._waiting = still
 
     def _grant(self, now: int, one: Waiting, holds: list[Hold]) -> None:
-        self._taken[one.ident] = Taken(
-            [(name, self.holder.take(now, hold)) for name, hold in zip(one.names, holds, strict=True)]
-        )
+        self._taken[one.ident] = [
+            (name, self.holder.take(now, hold)) for name, hold in zip(one.names, holds, strict=True)
+        ]
         for name, hold in zip(one.names, holds, strict=True):
             if hold.tokens < self._demand(now, hold) * LOW_S or self._stands_in_the_way(name, hold):
                 self._hungry[name] = None
--- a/ashcross/tier/term.py
+++ b/ashcross/tier/term.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 
 from ashcross.tier.messages import Ballot
 from ashcross.tier.rates import surely_us
@@ -24,15 +23,6 @@
 Key = tuple[int, int, int]  # number, steward, its process
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
-    """What a process may do by its term now."""
-
-    steward: Key | None  # whom it has promised, None without a promise that stands
-    mine: bool  # is that this process, with a majority
-    until_us: int  # and how long
-
-
 def bits_of(data: bytes) -> int:
     """The set of members of a ballot, as a whole number."""
     return int.from_bytes(data, "little")
@@ -145,12 +135,6 @@
         """Does no promise of this process stand? Only then it may use its apart part."""
         return now >= self.promised_until_us
 
-    def standing(self, now: int) -> Standing:
-        """What this process may do now."""
-        if self.free(now):
-            return Standing(None, False, 0)
-        return Standing(self.promised, self.holds(now), self.lease_until_us if self.holds(now) else 0)
-
     def tick(self, now: int, live: int, first: bool) -> None:
         """Begin rounds, or stand for steward. `live` are the members heard of as bits.
 
@@ -185,7 +169,7 @@
         self._join(now)
         self._count(now)
 
-    def resign(self, now: int) -> None:
+    def resign(self) -> None:
         """The steward ends: it lends nothing more. The promises to it end by themselves."""
         if self._is_mine():
             self.lease_until_us = 0
