Read clients on to their close, half-close before closing, and look once more before each send

Change: connections are read on always; answers that were not read count as open requests, so that what a slow reader may ask stays bounded. Ended ones are written out, half-closed, read and thrown away up to 256 KiB, closed after the client or 0.5 s; at most 8 wait so at once. Before a connection makes room or is closed as idle, and before the end of the process, what lies in the kernel is read, the accept queue too. Loop.begins is the one check before a first byte; it reads the client's socket if its request came over 20 ms ago. Ready and having a list to send by are two things: after 3 s without a bulletin pings are well and nothing is sent. The bulletin's connection has TCP_NODELAY. Unsent bytes to engines go when the list becomes stale. The wait that `unread` and `stood_still` stood for falls away, and with it their state.

Tests that asserted that slow readers are paused are replaced by ones that assert the stricter reading on.

--- a/ashcross/lab/judge.py
+++ b/ashcross/lab/judge.py
@@ -26,6 +26,7 @@
 CROSSING_US = 50_000  # a request that crosses a close within this is sent again by its client (PROTOCOL)
 BLOCKED_US = 50_000  # a full window is read on after a round trip or two
 HELD_US = 20_000  # word that gives an attempt up, and is stuck in a cut cable, counts as given after this
+GONE_US = 100_000  # word that a client has gone is read by then, whatever else happens (STANDING)
 BREAKS_MOST = 20
 PACK = struct.Struct("<qqbI").pack
 
@@ -88,6 +89,8 @@
     owed: bool = True
     answer: str = ""
     answered_us: int = 0
+    gone_us: int = 0  # word that its client waits no more has reached the dispatcher's host
+    crossed: bool = False  # it came after the dispatcher had half-closed its connection
     pulls: list[Pull] = field(default_factory=list)
 
     @property
@@ -140,6 +143,7 @@
     arriving: Words | None = None
     wrote: bool = False
     blocked_us: int = 0  # when its client last had no room for more
+    shut: bool = False  # the dispatcher has half-closed it: what comes now crossed that
     tries: list[Try] = field(default_factory=list)  # of a client's connection, in order
 
 
@@ -252,6 +256,14 @@
             for _, parts in stream.arriving.feed(data, now_us):
                 self._reached_engine(stream.post, end.peer, parts)
 
+    def shut(self, end: End) -> None:
+        """A side half-closed its end: what is owed on it can't be answered any more."""
+        self._digest.update(PACK(self._now(), end.number, 4, 0))
+        stream = self._stream(end) if end.machine is not None else None
+        if stream is not None and stream.to == "client":
+            self._client_link_closed(stream, end, "fin")
+            stream.shut = True
+
     def ended(self, end: End, how: str) -> None:
         """A side closed its end."""
         self._digest.update(PACK(self._now(), end.number, 3, len(how)))
@@ -263,7 +275,7 @@
             return
         if stream.to == "engine":
             self._link_over(stream.post, end)
-        elif stream.to == "client":
+        elif stream.to == "client" and not stream.shut:
             self._client_link_closed(stream, end, how)
         del stream.post.ends[end]
 
@@ -273,6 +285,9 @@
             stream = self._stream(end)
             if stream is not None and stream.to == "engine":
                 self._link_over(stream.post, end)
+            elif stream is not None and stream.to == "client":
+                for one in stream.tries:
+                    self.gave_up(one)
         else:
             self._engine_side_over(end)
 
@@ -343,11 +358,18 @@
         stream = one.post.ends.get(peer)
         if stream is not None:
             stream.tries.append(one)
+            if stream.shut:  # its client sends it again: it must not be sent on as well
+                one.owed, one.crossed = False, True
+                return
         one.post.taken.append(now_us)
         if one.key:
             one.post.keys.setdefault(one.key, []).append(one)
         self._later(one.due_us + self.settings.answer_slack_ms * 1000 + POLL_US, self._due, one)
 
+    def gave_up(self, one: Try) -> None:
+        """Word that the client waits no more, an abort or its close, has reached the dispatcher's host."""
+        one.gone_us = one.gone_us or self._now()
+
     def left(self, one: Try) -> None:
         """The client waits no more."""
         if not one.answer and one.owed:
@@ -446,6 +468,11 @@
         self.note(f"{post.name} -> {node.name}: PULL {one.txn}" + (f" for {one.op}" if one.op else ""))
         if parts[3] != one.statement or fields.get("sort") != one.spec.name or fields.get("op", "") != one.op:
             self.broke("fault", f"{post.name} changed {one.txn} on its way to {node.name}")
+        if one.crossed:
+            self.broke("answered", f"{post.name} sent {one.txn} on, which came after its shutdown")
+        if one.gone_us and at_us - one.gone_us > GONE_US:
+            late_ms = (at_us - one.gone_us) / 1000
+            self.broke("gone", f"{post.name} sent {one.txn} on {late_ms:.0f} ms after its client had gone")
         if one.answer and at_us > one.answered_us:
             self.broke("answered", f"{post.name} sent {one.txn} to {node.name} after its answer")
         ran = [pull for pull in one.pulls if not pull.never_ran]
--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -4,7 +4,7 @@
 
 import multiprocessing
 import signal
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import asdict, dataclass, replace
 from itertools import chain
@@ -158,7 +158,7 @@
 
 def _ends_at_once(whole: Any) -> Any:
     def drain(service: Any) -> None:
-        service._finish()
+        service._finish(0)
 
     return drain
 
@@ -167,7 +167,7 @@
     def advance(service: Any, now: int) -> None:
         if now >= service._quiet_us:
             service.loop.abandon = nothing
-            service._finish()
+            service._finish(0)
 
     return advance
 
@@ -180,6 +180,35 @@
     return write
 
 
+def _reading(name: str) -> Callable[[Any], Any]:
+    def made(whole: Any) -> Any:
+        def call(link: Any) -> None:
+            whole(link)
+            if link.transport.connected and not link._ended:
+                getattr(link.transport, name)()
+
+        return call
+
+    return made
+
+
+def _later_gone(whole: Any) -> Any:
+    def gone(link: Any) -> None:
+        link._ended = True
+        link._clients.went(link)
+        link._clients.closed(link)
+        link._clients.later(0.4, whole, link)
+
+    return gone
+
+
+def _later_abort(whole: Any) -> Any:
+    def abort(link: Any, call: Any) -> None:
+        link._clients.later(0.4, whole, link, call)
+
+    return abort
+
+
 def _all_come(whole: Any) -> Any:
     def build(factory: Any, addr: Any) -> Any:
         return ClientLink(factory)
@@ -294,12 +323,18 @@
     Mutant(
         "accepts-unbounded", ("bounds",), ((Clients, "listens", nothing), (Clients, "_accepted", nothing))
     ),
+    Mutant("ends-over-unread-calls", ("answered",), ((ClientLink, "read_out", nothing),)),
     Mutant(
-        "standstill-unheard-at-the-door",
+        "slow-readers-are-not-read",
         ("answered",),
-        ((Loop, "stood_still", property(lambda loop: False, nothing)),),
+        (
+            (ClientLink, "read_out", nothing),
+            swap(ClientLink, "pauseProducing", _reading("pauseProducing")),
+            swap(ClientLink, "resumeProducing", _reading("resumeProducing")),
+        ),
     ),
-    Mutant("unread-links-make-room", ("answered",), ((ClientLink, "unread", False),)),
+    Mutant("sends-for-clients-that-left", ("gone",), (swap(ClientLink, "_gone", _later_gone),)),
+    Mutant("aborts-read-late", ("gone",), (swap(ClientLink, "_abort", _later_abort),)),
     Mutant(
         "stuck-queries-go-out",
         ("answered", "drain"),
--- a/ashcross/lab/network.py
+++ b/ashcross/lab/network.py
@@ -41,6 +41,9 @@
     def arrived(self, end: End, data: bytes) -> None:
         """These bytes have reached the host of `end`."""
 
+    def shut(self, end: End) -> None:
+        """This end was half-closed by its own side: it writes nothing more, and reads on."""
+
     def ended(self, end: End, how: str) -> None:
         """This end was closed by its own side: `fin`, `reset`, or `killed` with its process."""
 
@@ -83,7 +86,7 @@
 
     __slots__ = (
         "address", "arrived", "capacity", "closed", "eof", "error", "heard", "in_flight", "machine",
-        "manners", "marks", "network", "number", "peer", "received", "remote", "up", "wants_room",
+        "manners", "marks", "network", "number", "peer", "received", "remote", "shut", "up", "wants_room",
     )  # fmt: skip
 
     def __init__(
@@ -95,7 +98,7 @@
         self.machine: Machine | None = None
         self.received = bytearray()
         self.capacity, self.in_flight, self.wants_room = network.window, 0, False
-        self.up = self.eof = self.closed = False
+        self.up = self.eof = self.closed = self.shut = False
         self.error = self.arrived = 0
         self.marks: deque[tuple[int, Callable[[], None]]] = (
             deque()
@@ -147,6 +150,15 @@
             peer.heard(peer)
         return data
 
+    def half_close(self) -> None:
+        """Our side has sent all that it will, and reads on."""
+        if self.closed or self.shut or self.error:
+            return
+        self.shut = True
+        self.network.tap.shut(self)
+        if self.peer is not None:
+            self.network.carry(self.manners, self.peer.finish, None)
+
     def close(self, reset: bool = False, killed: bool = False) -> None:
         """Our side ends the connection; unread bytes make it a reset, as in the system."""
         if self.closed:
@@ -156,7 +168,7 @@
         self.network.tap.ended(self, "killed" if killed else "reset" if reset else "fin")
         self.received.clear()
         self.heard = _nobody
-        if self.peer is not None:
+        if self.peer is not None and (reset or not self.shut):
             call: Callable[..., Any] = self.peer.break_off if reset else self.peer.finish
             self.network.carry(self.manners, call, errno.ECONNRESET if reset else None)
 
@@ -486,7 +498,9 @@
         return room
 
     def shutdown(self, how: int) -> None:
-        """Both directions at once are closed by `close`."""
+        """One direction is closed here; both at once are closed by `close`."""
+        if how == system.SHUT_WR and self.end is not None:
+            self.end.half_close()
 
     def close(self) -> None:
         """Let the socket go."""
--- a/ashcross/lab/people.py
+++ b/ashcross/lab/people.py
@@ -191,7 +191,7 @@
         if line.taken_up:
             self._times.after(50_000, self._abort, line, one)
         elif one.ident in line.open and not line.end.closed:
-            line.speaker.say(call("abort", None, {"id": one.ident}))
+            line.speaker.say(call("abort", None, {"id": one.ident}), lambda: self._judge.gave_up(one))
             del line.open[one.ident]
             self._judge.left(one)
 
--- a/ashcross/lifecycle/config.py
+++ b/ashcross/lifecycle/config.py
@@ -45,7 +45,9 @@
     silent_ms: int = 1_750  # until a connection without a whole call is ended; that is owed in 3 s
     client_idle_ms: int = 5_000  # until one on which nothing is open is ended; usual clients do so after 4 s
     accepts: int = 8  # connections taken at once before other sockets have their turn
-    linger_ms: int = 500  # how long a connection that is ended may take to read what was written
+    linger_ms: int = 500  # how long one that is ended may take to read what was written, and to close
+    linger_bytes: int = 262_144  # read and thrown away from one that is ended, or takes no more calls
+    closing: int = 8  # ended connections that wait for their client's close at once
     stalled_ms: int = 750  # until an engine's answer that began and does not go on is given up
     probe_timeout_ms: int = 250
     kill_wait_ms: int = 25  # from a KILL until the module may send the query again
@@ -56,10 +58,11 @@
     replay_ms: int = 1_000  # how long a list asked for afresh may take to catch up
     settle_ms: int = 50  # quiet after the bulletin's answer began until its backlog counts as read
     trust_ms: int = 6_500  # without word of the bulletin until its list is stale; PROTOCOL: told by 7 s
-    start_wait_ms: int = 3_000  # longest wait for the bulletin before a start goes on with what is known
+    start_wait_ms: int = 3_000  # longest wait for the bulletin until a start is ready without its list
     stop_most_ms: int = 3_000  # the longest deadline that counts at a stop (PROTOCOL)
     stop_grace_ms: int = 700  # and what is added to it before the kill
     stop_margin_ms: int = 400  # everything is answered this long before the kill
+    stop_close_ms: int = 200  # the last of it is for the clients' closes
     stop_quiet_ms: int = 1_000  # an idle dispatcher ends this long after the signal; arrivals end by 600
     lag_warn_ms: int = 100
     log_level: str = "INFO"
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -31,7 +31,8 @@
 from ashcross.wire.jsonrpc import Known
 
 SWEEP_S, STATS_SWEEPS = 0.25, 120
-STOP_LOOK_S = 0.05
+STOP_LOOK_S, LEAVE_LOOK_S = 0.05, 0.02
+KILL_MARGIN_US = 50_000  # the process has ended by itself this long before it may be killed
 
 
 def _looks(wait_ms: int) -> int:
@@ -108,6 +109,8 @@
                 idle_us=t.client_idle_ms * 1000,
                 accepts=t.accepts,
                 linger_s=t.linger_ms / 1000,
+                linger_bytes=t.linger_bytes,
+                closing=t.closing,
             ),
         )
         self.follower: Follower | None = None
@@ -135,10 +138,12 @@
     # ---------------------------------------------------------------- start
 
     def start(self, door: Door | None = None) -> None:
-        """Listen, tell the module what is known, and catch up with the bulletin; well once all is done.
+        """Listen, tell the module what is known, and catch up with the bulletin.
 
         What is known is that of an earlier moment: an engine that has begun to drain since then counts as
-        told (PROTOCOL, the bulletin). So nothing is sent by it until the bulletin has told its backlog.
+        told (PROTOCOL, the bulletin). So nothing is sent by it until the bulletin has told its backlog,
+        however long that takes. To be ready is another matter: pings are well from then on, or from
+        `start_wait_ms` on.
         """
         self.loop.gather(self.fleet.take(self.config.known, ListKind.CACHED))
         if self.follower is not None:
@@ -186,10 +191,10 @@
             self.phases.enter(Phase.SERVING)
 
     def _waited(self) -> None:
-        """The bulletin has not answered for long: go on with what was known, as through any silence."""
-        if self.phases.now is Phase.STARTING and self.follower is not None:
-            logger.warning("the bulletin does not answer; started with what was known")
-            self.follower.believe()
+        """The bulletin has not answered for long: ready all the same, for all but sending by its list."""
+        if self.phases.now is Phase.STARTING:
+            logger.warning("the bulletin does not answer; ready, and nothing is sent until it does")
+            self._serve()
 
     def _sweep(self) -> None:
         try:
@@ -264,19 +269,25 @@
             self.reactor.callLater(STOP_LOOK_S, self._look)
 
     def _advance(self, now: int) -> None:
-        done = not self.book.open and self.clients.written_out()
-        last_us = self._stop_us + self.config.transport.stop_margin_ms * 1000
-        if done and now >= self._quiet_us or now >= last_us:
-            self._finish()
-            return
+        t = self.config.transport
+        kill_us = self._stop_us + t.stop_margin_ms * 1000
+        last_us = kill_us - t.stop_close_ms * 1000
+        if now >= last_us or now >= self._quiet_us and self._done():
+            self.clients.catch_up()
+            # what that found is served as usual, or answered by `abandon` if the time is up
+            if now >= last_us or self._done():
+                self._finish(min(now + t.linger_ms * 1000, kill_us - KILL_MARGIN_US))
+                return
         if now >= self._stop_us and not self.loop.closing:
             self.loop.closing = True
             self.loop.gather(Closing())
 
-    def _finish(self) -> None:
+    def _done(self) -> bool:
+        return not self.book.open and self.clients.written_out()
+
+    def _finish(self, until_us: int) -> None:
+        """Answer what is left, shut our side of everything, and end once the clients have closed theirs."""
         self.phases.enter(Phase.STOPPED)
-        # what was written is sent before the process ends
-        self.reactor.callLater(STOP_LOOK_S, self.reactor.stop)
         if self._port is not None:
             self._port.stopListening()
         self.loop.abandon()
@@ -286,8 +297,15 @@
         if self.follower is not None:
             self.follower.stop()
         self.engines.close()
-        for link in list(self.clients.links):
-            link.finish()
+        self.clients.finish()
+        self._leave(until_us)
+
+    def _leave(self, until_us: int) -> None:
+        """The end of the process closes what is open: not over answers that are under way, if that can be."""
+        if self.clients.closing and self.clock() < until_us:
+            self.reactor.callLater(LEAVE_LOOK_S, self._leave, until_us)
+        else:
+            self.reactor.stop()
 
 
 def run(
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -24,6 +24,7 @@
 UNHEARD = (Outcome.CANCELLED, Outcome.TIMEOUT, Outcome.RESET)
 SLEPT_US = 1_000  # a wait for sockets longer than this found nothing older in them
 LATE_US = 10_000  # one that ended later than this after something was due: the process stood still in it
+LEFT_US = 20_000  # from when on after a request came its client is looked at before it is sent on
 
 
 class Module(Protocol):
@@ -45,7 +46,7 @@
     def close_idle(self, engine: EngineRecord) -> None:
         """Close connections on which nothing is open."""
 
-    def drained(self) -> None:
+    def drained(self, all_of_them: bool = False) -> None:
         """The list has changed: nothing that is not sent yet may still go to who is not ready any more."""
 
 
@@ -65,8 +66,6 @@
 class Loop:
     """One turn for all that has become ready; a turn is asked for with a call after 0 s."""
 
-    stood_still = False  # before this look at the sockets: calls of long ago may lie at each of them
-
     def __init__(
         self,
         clock: Clock,
@@ -84,6 +83,7 @@
         self._held: dict[str, api.Accept] = {}  # what the gate has not let pass yet
         self.listed: Callable[[], bool] = lambda: True  # is the bulletin connected?
         self.closing = False
+        self._trusted = True
         self._ready: list[api.Event] = []
         self._rosters: list[Roster] = []
         self._asked, self._alarm, self._alarm_us = False, None, 0
@@ -107,7 +107,7 @@
         now = self.clock()
         due_us = self._beat_us if self._alarm is None else min(self._beat_us, self._alarm_us)
         if now > due_us + LATE_US and self._turn_end_us <= due_us:
-            self._woke_us, self.stood_still = self._turn_end_us, True
+            self._woke_us = self._turn_end_us
         elif now - self._turn_end_us > SLEPT_US and not self._asked:
             self._woke_us = now
         self._turn_end_us = now
@@ -117,7 +117,7 @@
         """The sweep is made, right after a look at the sockets; it is made again in `next_us`."""
         self._turn_end_us = now = self.clock()
         self._beat_us = now + next_us
-        self.fresh = self.stood_still = False
+        self.fresh = False
 
     def gather(self, event: api.Event) -> None:
         """Put an event into the next turn."""
@@ -137,6 +137,9 @@
 
     def trust(self, on: bool) -> None:
         """May the list that is held be sent by?"""
+        self._trusted = on
+        if not on and self.engines is not None:
+            self.engines.drained(True)
         stale = api.EngineList(api.ListKind.STALE, self.fleet.version, ())
         self.gather(self.fleet.whole() if on else stale)
 
@@ -152,7 +155,7 @@
         # no client of any class waits longer than the settings say: a huge limit must not hold its entries
         deadline_us = arrived_us + min(int(query.limit_ms * 1000), self.limits.longest_us)
         request = RequestRecord(
-            query.txn, client, ident, asked.sort, query.statement, query.unique, deadline_us
+            query.txn, client, ident, asked.sort, query.statement, query.unique, deadline_us, arrived_us
         )
         self.book.add(request)
         self.book.deadlines.add(deadline_us + self.limits.answer_slack_us, self._overdue, request)
@@ -187,10 +190,22 @@
             self._answer(request, jsonrpc.refusal(request.ident, -(-later_us // 1000)), "refused")
             self.ask()  # the book is swept in a turn
 
-    def written(self, attempt: AttemptRecord) -> None:
-        """The first byte of an attempt goes out."""
+    def begins(self, attempt: AttemptRecord, engine: EngineRecord) -> bool:
+        """May the first byte of an attempt go out, now that all waits for it are over? If so, it does.
+
+        The one place for what can have changed since the module decided: the request is over, its client has
+        gone or given it up and that still lies in the kernel, its time is up, the engine drains, has left or
+        is another process, or the list is too old to send by.
+        """
+        request, now = attempt.request, self.clock()
+        if now - request.arrived_us > LEFT_US:
+            request.client.read_out()
+        known = self._trusted and engine.ready and self.fleet.engines.get(engine.name) is engine
+        if request.over or attempt.settled or now >= attempt.until_us or not known:
+            return False
         if self.gate is not None:
-            self.gate.written(attempt.request)
+            self.gate.written(request)
+        return True
 
     def leave(self, request: RequestRecord) -> None:
         """The client is gone or has given the request up; no answer is owed."""
@@ -268,7 +283,6 @@
             if self._ready or self._rosters:
                 self.ask()
             self._set_alarm()
-            self.stood_still = False  # what lay at the sockets then has been read before this turn
             self._turn_end_us = end_us = self.clock()
             self.worst_turn_us = max(self.worst_turn_us, end_us - now)
 
--- a/ashcross/memory/book.py
+++ b/ashcross/memory/book.py
@@ -19,6 +19,9 @@
     def reply(self, ident: int, frame: bytes) -> None:
         """Write the whole answer."""
 
+    def read_out(self) -> None:
+        """Take in what the client has sent until now, and whether it has gone."""
+
 
 class Link(Protocol):
     """A connection to an engine as the loop uses it."""
@@ -49,6 +52,7 @@
     statement: bytes
     unique: str | None
     deadline_us: int
+    arrived_us: int  # its last byte, at the earliest
     priority: int | None = None
     over: bool = False
     resets: int = 0  # connections that ended while an attempt of this request was out there
--- a/ashcross/wire/bulletin.py
+++ b/ashcross/wire/bulletin.py
@@ -46,6 +46,7 @@
 
     def connectionMade(self) -> None:
         """Ask for all after the last event that we have."""
+        self.transport.setTcpNoDelay(True)
         self.transport.write(self._follower.request())
 
     def dataReceived(self, data: bytes) -> None:
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from itertools import chain, islice
 from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol, connectionDone
@@ -16,7 +17,10 @@
 from ashcross.wire.hosting import Asked, ClientHost, Health
 from ashcross.wire.statement import group_of_tables, table_of
 
-FRESH_LOOKS = 2  # sweeps that a connection has seen once it could have been read for sure
+FRESH_LOOKS = 2  # sweeps after which a connection without a call goes before one that rests after its calls
+READS_MOST = 64  # reads of one look at a connection: who writes faster than that is looked at again
+ROOM_LOOKS = 16  # connections looked at to make room for one
+CLOSE_S = 0.05  # for the last bytes of a connection that has had its time
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +37,9 @@
     silent_looks: int  # sweeps after which a connection that has not sent one whole call is ended
     idle_us: int  # after which a connection on which nothing is open is ended
     accepts: int  # connections taken at once before other sockets have their turn
-    linger_s: float  # how long an ended connection may take to read what was written
+    linger_s: float  # how long an ended connection may take to read what was written, and to close its side
+    linger_bytes: int  # thrown away unread from one that is ended, until it is closed over the rest
+    closing: int  # ended connections that are kept open for that
 
 
 class ClientLink(Protocol):
@@ -46,10 +52,9 @@
         self.reader = jsonrpc.BodyReader(clients.pool, clients.limits.body_bytes)
         self.open: dict[int, RequestRecord] = {}
         self.unsent, self._paused, self._ended = 0, False, False
-        # since when bytes may lie in the kernel that were not read
-        self._unread_us = clients.loop.opened_us if clients.loop.fresh else None
-        self._looks_due = 0  # looks at the sockets until none of those lies there any more
-        self.parting = False  # reads nothing more, and is closed once nothing is open on it
+        self._unread_answers = 0  # written since its client stopped reading
+        self.parting = False  # takes no more calls, and is ended once nothing is open on it
+        self._reads = self._thrown_away = 0
         self.calls = self.strikes = 0
         self._calls_seen = self.looks = 0
         self.used_us = clients.loop.clock()
@@ -58,15 +63,19 @@
         """A client has come."""
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = self._clients.limits.link_buffer_bytes
-        # told when the buffer of what is not sent fills, to stop reading from a client that does not read
+        # told when the buffer of what is not sent fills, and when it is empty again
         self.transport.registerProducer(self, True)
         self._clients.came(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """The client has gone, and with it what it had asked for."""
+        self._gone()
+
+    def _gone(self) -> None:
         self._ended = True
         self.reader.close()
         self._clients.went(self)
+        self._clients.closed(self)
         for request in list(self.open.values()):
             self._loop.leave(request)
         self.open.clear()
@@ -79,62 +88,76 @@
         self.transport.abortConnection()
 
     def finish(self) -> None:
-        """End the connection once what was written is sent, or the time for that is up."""
+        """End the connection: write out, half-close, and close once the client has closed its side too.
+
+        Closed over bytes that were not read, a connection is reset, and what was written may go with it. So
+        its bytes are read and thrown away meanwhile; none of them is taken for a call any more.
+        """
         if self._ended:
             return
         self._ended = True
         self.reader.close()
         self._clients.went(self)
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
-        self._clients.later(self._clients.limits.linger_s, self._abort_transport)
+        self.transport.loseWriteConnection()
+        self._clients.closes(self)
+
+    def let_go(self) -> None:
+        """It has had its time: close, over what may still come."""
+        self._clients.closed(self)
+        if self.transport.connected:
+            self.transport.loseConnection()
+            self._clients.later(CLOSE_S, self._abort_transport)  # what it does not read can't be sent
 
     def _abort_transport(self) -> None:
         if self.transport.connected:
             self.transport.abortConnection()
 
     def part(self) -> None:
-        """Read nothing more from here; what is open gets its answers, and then the connection ends."""
+        """Take no more calls from here; what is open gets its answers, and then the connection ends.
+
+        It is read on, as nothing else would tell that the client has gone.
+        """
         self.parting = True
         self.reader.close()
-        if self.open:
-            self.transport.pauseProducing()
-        else:
+        if not self.open:
             self.finish()
 
     def give_way(self) -> None:
-        """Make room for another: what is open here is failed, as nothing may end without an answer."""
+        """End it now: what is open here is failed, as nothing may end without an answer."""
         for request in list(self.open.values()):
             self._loop.turn_out(request)
         self.finish()
 
+    def read_out(self) -> None:
+        """Take in what lies in the kernel now, and the client's close behind it.
+
+        A connection is not ended over a call that came, and nothing is begun for a client that has gone.
+        """
+        for _ in range(READS_MOST):
+            reads = self._reads
+            if not self.transport.connected:
+                return
+            if self.transport.doRead() is not None:  # its end; the reactor finds that again and closes
+                self._gone()
+                return
+            if self._reads == reads:
+                return
+
     # ------------------------------------------------------- slow readers
 
     def pauseProducing(self) -> None:
-        """What was written is not read: read no more from there."""
+        """What was written is not read. The connection is read on: its client's close must be noticed.
+
+        What may be asked on it is bounded all the same, as answers that were not read count as open.
+        """
         self._paused = True
-        if self._unread_us is None:
-            self._unread_us = self._loop.clock()
-        self.transport.pauseProducing()
 
     def resumeProducing(self) -> None:
         """All that was written has been sent."""
-        self._paused = False
+        self._paused, self._unread_answers = False, 0
         self._clients.unsent -= self.unsent
         self.unsent = 0
-        if not self._ended and not self.parting:
-            self.transport.resumeProducing()
-            self._expect_unread()
-
-    def _expect_unread(self) -> None:
-        """What lay unread is read by the next look at the sockets; what comes after that has just come."""
-        self._looks_due += 1
-        self._clients.later(0, self._clients.later, 0, self._read_out)
-
-    def _read_out(self) -> None:
-        self._looks_due -= 1
-        if not self._looks_due and not self._paused:
-            self._unread_us = None
 
     def stopProducing(self) -> None:
         """The connection ends."""
@@ -143,6 +166,7 @@
         """The answer to an open request."""
         self.open.pop(ident, None)
         self._write(frame)
+        self._unread_answers += self._paused
         if self.parting and not self.open:
             self.finish()
 
@@ -160,13 +184,13 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Take in calls; bytes that cannot be parsed end this connection alone."""
+        self._reads += 1
         if self._ended or self.parting:
+            self._throw_away(len(data))
             return
         arrived_us = self._loop.arrived_us()
-        if self._unread_us is not None:  # it came at any time since we stopped reading here
-            arrived_us = min(arrived_us, self._unread_us)
-            if not self._paused:
-                self._expect_unread()  # perhaps that was not all of it
+        if self._loop.fresh:  # it may have come at any time since clients could write here
+            arrived_us = min(arrived_us, self._loop.opened_us)
         try:
             for body in self.reader.feed(data):
                 self._clients.used(self)
@@ -181,6 +205,15 @@
             return
         self._clients.check_waiting()
 
+    def _throw_away(self, size: int) -> None:
+        self._thrown_away += size
+        if self._thrown_away <= self._clients.limits.linger_bytes:
+            return
+        if self._ended:  # a flood must not be read for as long as it lasts
+            self.let_go()
+        else:
+            self.give_way()
+
     def _take(self, body: bytes, arrived_us: int) -> None:
         try:
             self._called(body, arrived_us)
@@ -239,7 +272,7 @@
             raise jsonrpc.CallError(
                 jsonrpc.INVALID_PARAMS, ident, "params.txn", "one that is not open", "one that is"
             )
-        crowded = len(self.open) >= self._clients.limits.open_per_connection
+        crowded = len(self.open) + self._unread_answers >= self._clients.limits.open_per_connection
         if crowded or book.full(len(query.statement)):
             self._write(jsonrpc.refusal(ident, 0))  # before the module: it never ran
             if crowded:  # no usual client asks for so many at once
@@ -254,11 +287,6 @@
         if self._loop.gate is not None:
             self._loop.gate.offer(request, query.team)
 
-    @property
-    def unread(self) -> bool:
-        """May a request lie in the kernel that was taken and not read yet?"""
-        return self._unread_us is not None
-
     def look(self, now: int) -> None:
         """Called by each sweep: a connection that says nothing, stops half-way or rests for long is ended."""
         if self.open or self._ended or self.parting:
@@ -269,9 +297,15 @@
         limits = self._clients.limits
         # looks are counted, not time: if this process stood still, a whole call may lie there unread
         mute = self.looks >= limits.silent_looks and (not self.calls or self.reader.waiting)
-        if mute or now - self.used_us >= limits.idle_us:
+        if (mute or now - self.used_us >= limits.idle_us) and not self.asks():
             self.finish()
 
+    def asks(self) -> bool:
+        """Is there a call after all, or an open request? What lies in the kernel is read first."""
+        calls = self.calls
+        self.read_out()
+        return bool(self.open) or self.calls != calls or self._ended or self.parting
+
 
 class Clients(Factory):
     """All connections from clients."""
@@ -292,12 +326,14 @@
         self.links: dict[ClientLink, None] = {}  # that used longest ago first
         self.silent: dict[ClientLink, None] = {}  # those without a whole call, that came first first
         self.rude: dict[ClientLink, None] = {}  # those with strikes
+        self.closing: dict[ClientLink, None] = {}  # half-closed ones; their descriptors are still ours
         self.unsent = 0
         self._port: Any = None
-        self._accepting = False
+        self._accepting, self._taken = False, 0
 
     def buildProtocol(self, addr: Any) -> ClientLink | None:
         """A link, unless all connections are in use by requests of clients that keep to the form."""
+        self._taken += 1
         if not self._accepting:
             self._accepting = True
             self.later(0, self._accepted)
@@ -327,20 +363,15 @@
     def _dispensable(self) -> ClientLink | None:
         """Who makes room: rude clients first, then the silent, then who has rested for longest.
 
-        Of a fresh connection nothing is known: its call may not have been read yet. It goes last. One that
-        is not read because its client takes its answers slowly makes no room: a request that was taken may
-        lie there unread, and would be lost with it. So it may on each of them right after a standstill.
+        Of a fresh connection nothing is known; it goes last. What lies unread is read before anybody else
+        goes: a request that was taken may be among it, and would be lost with the connection.
         """
         if self.rude:
             return next(iter(self.rude))
-        oldest = next(iter(self.silent), None)
-        if oldest is not None and oldest.looks >= FRESH_LOOKS:
-            return oldest
-        self.loop.arrived_us()
-        if self.loop.stood_still:
-            return oldest
-        rested = (link for link in self.links if link.calls and not link.open and not link.unread)
-        return next(rested, oldest)
+        silent = (link for link in self.silent if link.looks >= FRESH_LOOKS)
+        rested = (link for link in self.links if link.calls and not link.open)
+        looked_at = tuple(islice(chain(silent, rested, self.silent), ROOM_LOOKS))
+        return next((link for link in looked_at if not link.asks()), None)
 
     def came(self, link: ClientLink) -> None:
         """Count a connection in."""
@@ -360,6 +391,40 @@
         self.unsent -= link.unsent
         link.unsent = 0
 
+    def closes(self, link: ClientLink) -> None:
+        """Our side is shut; the client has a while to read and to shut its own, if few are so at once."""
+        self.closing[link] = None
+        self.later(self.limits.linger_s, self._linger_over, link)
+        if len(self.closing) > self.limits.closing:
+            self._linger_over(next(iter(self.closing)))
+
+    def _linger_over(self, link: ClientLink) -> None:
+        if link in self.closing:
+            link.read_out()
+        if link in self.closing:
+            link.let_go()
+
+    def closed(self, link: ClientLink) -> None:
+        """It is closed on both sides, or has had its time."""
+        self.closing.pop(link, None)
+
+    def finish(self) -> None:
+        """The process ends: every connection does, and all of them may wait for their clients' closes."""
+        self.limits = replace(self.limits, closing=1 << 30)  # nothing new needs their descriptors
+        for link in list(self.links):
+            link.finish()
+
+    def catch_up(self) -> None:
+        """Take in all that waits in the kernel: who was not accepted yet, and calls that were not read."""
+        if self._port is not None:
+            for _ in range(READS_MOST):
+                before, self._port.numberAccepts = self._taken, self.limits.accepts
+                self._port.doRead()
+                if self._taken == before:
+                    break
+        for link in list(self.links):
+            link.read_out()
+
     def check_unsent(self) -> None:
         """What clients do not read is bounded: beyond that the slowest loses its connection."""
         if self.unsent > self.limits.unsent_bytes:
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -78,10 +78,10 @@
         for attempt in list(self.open.values()):
             # a further attempt was allowed when it was decided, not after a long dial or a standstill
             stale = attempt.number and self.used_us - attempt.sent_us > self._engines.limits.stale_us
-            if self.record.ready and not stale:
-                self._ask(attempt)
-            else:  # or drained or gone during the dial: it never ran
+            if stale:
                 self._loop.settle(attempt, Outcome.MOOT)
+            else:
+                self._ask(attempt)
         for probe in self.probes.values():
             self._ask_load(probe)
 
@@ -176,13 +176,15 @@
 
     def _ask(self, attempt: AttemptRecord) -> None:
         request = attempt.request
+        if not self._loop.begins(attempt, self.record):  # it never ran
+            self._loop.settle(attempt, Outcome.MOOT)
+            return
         left_ms = max(1, (attempt.until_us - self._loop.clock()) // 1000)
         pairs = {"sort": request.sort, "patience": str(left_ms)}
         if request.unique is not None:
             pairs["op"] = request.unique
         if request.priority is not None:
             pairs["band"] = str(request.priority)
-        self._loop.written(attempt)
         attempt.stage, attempt.at_byte = Stage.ASKED, self._written
         self._write(b"PULL", request.txn.encode(), resp.join_fields(pairs), request.statement)
 
@@ -369,10 +371,10 @@
         dial(self._reactor, address, timeout_s, link).addErrback(link.dial_failed)
         return link
 
-    def drained(self) -> None:
+    def drained(self, all_of_them: bool = False) -> None:
         """News of the engines: what still lies here for one that takes nothing new must not go out."""
         for record in self.loop.fleet.records():
-            if not record.ready:
+            if all_of_them or not record.ready:
                 for link in list(record.links):
                     if link.up and link.unsent():
                         link.close()
--- a/ashcross/wire/hosting.py
+++ b/ashcross/wire/hosting.py
@@ -7,7 +7,7 @@
 
 from ashcross.gateway import interface as api
 from ashcross.memory.book import AttemptRecord, Book, ProbeRecord, Replies, RequestRecord
-from ashcross.memory.fleet import Fleet
+from ashcross.memory.fleet import EngineRecord, Fleet
 from ashcross.wire import jsonrpc
 
 
@@ -57,7 +57,6 @@
     gate: Gate | None
     opened_us: int  # since when clients may write here
     fresh: bool  # until the first sweep: who comes may have waited since then
-    stood_still: bool  # before this look at the sockets, by the last call of `arrived_us`
 
     def arrived_us(self) -> int:
         """When bytes that are read now came at the earliest."""
@@ -90,5 +89,5 @@
     def probed(self, probe: ProbeRecord, outcome: api.Outcome, report: dict[str, float]) -> None:
         """The one outcome of a probe."""
 
-    def written(self, attempt: AttemptRecord) -> None:
-        """The first byte of an attempt goes out."""
+    def begins(self, attempt: AttemptRecord, engine: EngineRecord) -> bool:
+        """May the first byte of an attempt go out, now that all waits for it are over? If so, it does."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -61,6 +61,7 @@
     def arrived(self, end: End, data: bytes) -> None: ...
     def ended(self, end: End, how: str) -> None: ...
     def broken_off(self, end: End) -> None: ...
+    def shut(self, end: End) -> None: ...
 
 
 class Pair:
@@ -188,9 +189,9 @@
     "herd-sends-by-an-old-list": ("sends-before-the-backlog", "drain"),
     "late-after-a-standstill": ("late-after-a-standstill", "answered"),
     "order-key-not-told": ("order-key-not-told", "order"),
-    "crowd-after-a-standstill": ("standstill-unheard-at-the-door", "answered"),
+    "crowd-after-a-standstill": ("ends-over-unread-calls", "answered"),
     "stuck-queries-after-their-answer": ("stuck-queries-go-out", "answered"),
-    "unread-behind-a-slow-reader": ("unread-links-make-room", "answered"),
+    "unread-behind-a-slow-reader": ("slow-readers-are-not-read", "answered"),
 }
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -36,7 +36,9 @@
 
     def __init__(self) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
-        self.aborted = self.lost = False
+        self.protocol: Any = None
+        self.aborted = self.lost = self.shut = self.closed = False
+        self.in_kernel: list[bytes] = []  # what came and was not read; empty bytes: the client's close
         self.takes = True  # the kernel takes all that is written, at once
 
     def write(self, data: bytes) -> None:
@@ -45,7 +47,19 @@
             self.producer.resumeProducing()
 
     def loseConnection(self) -> None:
-        self.lost = True
+        self.lost = self.closed = True
+
+    def loseWriteConnection(self) -> None:
+        self.lost = self.shut = True
+
+    def doRead(self) -> Any:
+        if not self.in_kernel:
+            return None
+        data = self.in_kernel.pop(0)
+        if not data:
+            return GONE.value
+        self.protocol.dataReceived(data)
+        return None
 
     def setTcpNoDelay(self, on: bool) -> None:
         pass
@@ -71,7 +85,7 @@
         bounds = {
             "connections": 3, "open_per_connection": 4, "body_bytes": 2000, "unsent_bytes": 500,
             "link_buffer_bytes": 4096, "waiting_buffers": 40, "strikes": 4, "silent_looks": 3,
-            "idle_us": 5_000_000, "accepts": 8, "linger_s": 0.5,
+            "idle_us": 5_000_000, "accepts": 8, "linger_s": 0.5, "linger_bytes": 5_000, "closing": 3,
         } | limits  # fmt: skip
         self.reactor: Any = MemoryReactorClock()  # type: ignore[no-untyped-call]
         self.loop.fresh = False  # who comes now was not waiting since the start
@@ -84,6 +98,7 @@
     def connect(self) -> tuple[ClientLink, Wire]:
         link, wire = self.clients.buildProtocol(None), Wire()
         assert link is not None
+        wire.protocol = link
         link.makeConnection(wire)  # type: ignore[no-untyped-call]
         return link, wire
 
@@ -223,7 +238,10 @@
         link.dataReceived(question(ident, method="dance"))
     assert [answer.ident for answer in answers(wire)] == [1, 2, 3] and wire.lost
     assert not world.clients.links
-    world.reactor.advance(0.6)  # it does not read that either
+    assert wire.shut and not wire.closed  # half-closed: it has a while to read what was written
+    world.reactor.advance(0.6)
+    assert wire.closed and not wire.aborted
+    world.reactor.advance(0.1)  # it does not read that either
     assert wire.aborted
     world = ClientWorld(strikes=2, open_per_connection=1)
     link, wire = world.connect()
@@ -376,7 +394,7 @@
     assert world.clients.buildProtocol(None) is None  # all are in use by requests
 
 
-def test_a_connection_that_is_not_read_makes_no_room_as_a_request_may_lie_there() -> None:
+def test_a_call_that_lies_unread_keeps_its_connection_from_making_room() -> None:
     """Seed 7327619 of the lab: a request lay unread behind a slow reader when a crowd came, and was lost."""
     world = ClientWorld(connections=2)
     slow, slow_wire = world.connect()
@@ -384,41 +402,112 @@
     slow.pauseProducing()
     other, other_wire = world.connect()
     other.dataReceived(jsonrpc.call("ping", 1, {}))
+    slow_wire.in_kernel.append(question(3, "c" * 16))
     assert world.clients.buildProtocol(None) is not None and other_wire.lost and not slow_wire.lost
+    assert list(slow.open) == [3]
     world.connect()[0].dataReceived(question(1))
     assert world.clients.buildProtocol(None) is None and not slow_wire.lost
-    slow.resumeProducing()
-    assert world.clients.buildProtocol(None) is None and not slow_wire.lost  # what lay there is read first
-    for _ in range(2):
-        world.reactor.advance(0)
+    slow.reply(3, b"")
     assert world.clients.buildProtocol(None) is not None and slow_wire.lost
 
 
-def test_right_after_a_standstill_no_connection_makes_room_that_may_hold_a_call() -> None:
+def test_right_after_a_standstill_no_connection_makes_room_that_holds_a_call() -> None:
     """Seed 7337067 of the lab: stopped for 971 ms, a crowd was taken before two calls of then were read."""
     world = ClientWorld(connections=2)
     links = [world.connect() for _ in range(2)]
-    for link, _ in links:
+    for number, (link, wire) in enumerate(links):
         link.dataReceived(jsonrpc.call("ping", 1, {}))
+        wire.in_kernel.append(question(2, f"{number:016x}"))
     world.loop.beat(250_000)
     world.now_us += 971_000
     assert world.clients.buildProtocol(None) is None  # turned away: a refusal, which is harmless
     assert not any(wire.lost for _, wire in links)
-    links[0][0].dataReceived(question(1))
+    assert [list(link.open) for link, _ in links] == [[2], [2]]
     world.run()
+    links[1][0].reply(2, b"")
     assert world.clients.buildProtocol(None) is not None and links[1][1].lost
 
 
-def test_a_client_that_does_not_read_is_read_no_more_and_bounded() -> None:
+@pytest.mark.parametrize("begun", [b"", question()[:-5]])
+def test_no_connection_is_ended_over_a_call_that_lies_in_the_kernel(begun: bytes) -> None:
+    """Rested for its whole time, or mute and half-way: the rest came while the process stood still."""
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(begun or jsonrpc.call("ping", 1, {}))
+    world.now_us += 6_000_000
+    wire.in_kernel.append(question()[-5:] if begun else question())
+    for _ in range(3):
+        world.clients.sweep()
+    assert not wire.lost and list(link.open) == [7]
+    link.reply(7, b"")
+    world.now_us += 6_000_000
+    world.clients.sweep()
+    assert wire.shut and not wire.closed
+
+
+def test_what_comes_after_the_shutdown_is_read_and_never_taken() -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(jsonrpc.call("ping", 1, {}))
+    world.now_us += 6_000_000
+    world.clients.sweep()
+    assert wire.shut
+    wire.in_kernel.append(question())
+    world.reactor.advance(0.6)
+    assert wire.closed and not wire.in_kernel and not link.open and not world.module.of(api.Accept)
+
+
+def test_a_connection_that_was_shut_is_closed_with_its_client_and_holds_its_place_until_then() -> None:
+    world = ClientWorld(closing=2)
+    wires = []
+    for _ in range(3):
+        link, wire = world.connect()
+        link.part()
+        wires.append(wire)
+    assert [wire.closed for wire in wires] == [True, False, False]  # one too many: the first has had its time
+    assert len(world.clients.closing) == 2
+    world.clients.closing.copy().popitem()[0].connectionLost(GONE)
+    assert len(world.clients.closing) == 1
+
+
+def test_a_flood_after_the_end_is_read_up_to_a_bound() -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(b"no call at all\r\n\r\n")
+    assert wire.shut
+    for _ in range(5):
+        link.dataReceived(b"x" * 1000)
+    assert not wire.closed
+    link.dataReceived(b"x")
+    assert wire.closed and not world.clients.closing
+
+
+def test_a_parting_client_that_leaves_is_heard_and_one_that_floods_is_failed() -> None:
+    world = ClientWorld()
+    gone, gone_wire = world.connect()
+    gone.dataReceived(question(1, "a" * 16) + b"no call at all\r\n\r\n")
+    assert gone.parting and not gone_wire.lost and gone_wire.producerState == "producing"
+    gone_wire.in_kernel.append(b"")
+    gone.read_out()
+    assert world.loop.counts["gone"] == 1 and not gone.open
+    flood, flood_wire = world.connect()
+    flood.dataReceived(question(1, "b" * 16) + b"no call at all\r\n\r\n")
+    answers(flood_wire)
+    flood.dataReceived(b"x" * 5_001)
+    assert [(a.ident, a.code) for a in answers(flood_wire)] == [(1, jsonrpc.FAILED)] and flood_wire.shut
+
+
+def test_a_client_that_does_not_read_is_read_on_and_bounded() -> None:
+    """T1: a paused connection tells of no close, so its client could be gone while its requests were sent."""
     world = ClientWorld()
     slow, slow_wire = world.connect()
     other, other_wire = world.connect()
     slow.pauseProducing()
-    assert slow_wire.producerState == "paused"
+    assert slow_wire.producerState == "producing"
     slow.reply(1, b"x" * 300)
     assert world.clients.unsent == 300 and not world.clients.written_out()
     slow.resumeProducing()
-    assert slow_wire.producerState == "producing" and world.clients.written_out()
+    assert world.clients.written_out()
     slow.pauseProducing()
     other.pauseProducing()
     other.reply(1, b"x" * 200)
@@ -428,22 +517,46 @@
     assert world.clients.unsent == 200
 
 
-def test_what_lay_unread_while_its_client_did_not_read_counts_from_when_we_stopped() -> None:
+def test_answers_that_were_not_read_count_as_open_requests() -> None:
+    world = ClientWorld(unsent_bytes=100_000)
+    link, wire = world.connect()
+    link.dataReceived(b"".join(question(ident, f"{ident:016x}") for ident in (1, 2, 3)))
+    link.pauseProducing()
+    link.reply(1, b"")
+    link.reply(2, b"")
+    wire.taken()
+    link.dataReceived(b"".join(question(ident, f"{ident:016x}") for ident in (4, 5)))
+    assert sorted(link.open) == [3, 4]
+    assert [(answer.ident, answer.code) for answer in answers(wire)] == [(5, jsonrpc.REFUSED)]
+    link.resumeProducing()
+    link.dataReceived(question(6, f"{6:016x}"))
+    assert sorted(link.open) == [3, 4, 6]
+
+
+def test_a_request_behind_a_long_answer_is_read_at_once() -> None:
     """Seed 307 of the lab: 150 ms unread behind a long answer, and answered 37 ms after the client's time."""
     world = ClientWorld()
-    link, _ = world.connect()
-    stopped_us = world.now_us
+    link, wire = world.connect()
     link.pauseProducing()
-    world.now_us += 150_000
-    link.resumeProducing()
+    assert wire.producerState == "producing"
     link.dataReceived(question(1, "a" * 16))
-    for _ in range(4):  # looks at the sockets that find nothing more there
-        world.reactor.advance(0)
     world.run()
-    world.now_us += 150_000
-    link.dataReceived(question(2, "b" * 16))
-    deadlines = [request.deadline_us for request in link.open.values()]
-    assert deadlines == [stopped_us + 1_000_000, world.now_us + 1_000_000]
+    assert [request.deadline_us for request in link.open.values()] == [world.now_us + 1_000_000]
+
+
+def test_a_close_behind_a_request_is_found_by_the_look_before_it_is_sent_on() -> None:
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(question())
+    request = link.open[7]
+    wire.in_kernel += [jsonrpc.call("ping", 1, {}), jsonrpc.call("abort", None, {"id": 7})]
+    request.client.read_out()
+    assert request.over and world.loop.counts["gone"] == 1
+    link.dataReceived(question(8, "b" * 16))
+    other = link.open[8]
+    wire.in_kernel += [question(9, "c" * 16), b""]
+    other.client.read_out()
+    assert other.over and not link.open and world.loop.counts["gone"] == 3
 
 
 def test_a_fault_in_one_call_costs_that_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -40,6 +40,8 @@
 class Client:
     def __init__(self) -> None:
         self.frames: list[tuple[int, bytes]] = []
+        self.looks = 0
+        self.when_read: Callable[[], None] = lambda: None  # what lies in the kernel
 
     def reply(self, ident: int, frame: bytes) -> None:
         self.frames.append((ident, frame))
@@ -47,6 +49,10 @@
     def answers(self) -> list[dict[str, Any]]:
         return [json.loads(frame.split(b"\r\n\r\n", 1)[1]) for _, frame in self.frames]
 
+    def read_out(self) -> None:
+        self.looks += 1
+        self.when_read()
+
 
 class Link:
     def __init__(self) -> None:
@@ -79,7 +85,7 @@
     def close_idle(self, engine: EngineRecord) -> None:
         self.closed.append(engine.name)
 
-    def drained(self) -> None:
+    def drained(self, all_of_them: bool = False) -> None:
         pass
 
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,9 +20,12 @@
     def reply(self, ident: int, frame: bytes) -> None:
         raise AssertionError("no answer was due")
 
+    def read_out(self) -> None:
+        raise AssertionError("nothing was to be sent")
+
 
 def request(txn: str = "a" * 16, statement: bytes = b"select") -> RequestRecord:
-    return RequestRecord(txn, Nobody(), 1, "lookup", statement, None, 1_000_000)
+    return RequestRecord(txn, Nobody(), 1, "lookup", statement, None, 1_000_000, 0)
 
 
 def test_deadlines_come_in_order_and_equal_ones_as_added() -> None:
