Bound what a cold engine gets by all instances: no part after a restart, dials counted, four turns

Change: accounts and turns over the fall time and a dial; a price is the call's own estimate or its class's mean, whichever is more; nothing to a process older than ourselves until a span has passed since our start; parts are a quarter (turns of a third of a span) in place of a third. As prices are bounds now, the constant for their scatter goes from 0.6 to 0.95 (beside 0.85): the most that may be sent is 0.81 N by estimates. DialTimeout reaches the module as `dial_us`.

--- a/ashcross/gateway/interface.py
+++ b/ashcross/gateway/interface.py
@@ -143,6 +143,7 @@
     dial_price: float  # for one new connection for each first try, as a share of all that is asked for
     probe_price: float  # for one probe for each first try
     idle_us: int  # after which a connection on which nothing is open is closed
+    dial_us: int  # the longest that a dial may take: a send may come that much later than it was decided
     drain_grace_us: int
     cold_from: float
     ramp_us: int
--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -36,8 +36,8 @@
 BURST_S = 2.0  # a tenant may send this long an allowance at once, s; times the root of the gateways' number
 LEARN = 0.05  # weight of one outcome in a class's running means
 TICKS = 20  # ticks in the shortest aim
-TURNS = 3  # parts of a cold engine's budget; with more gateways than that they take turns
-COLD = 0.6  # share of the fall budget used: work is priced at class means, which scatter
+TURNS = 4  # parts of a cold engine's budget; with more gateways than that they take turns
+COLD = 0.95  # share of the fall budget used, beside UTIL_HIGH: nominal cores are a little wrong
 WARM, HOMES, SEEN = 0.8, 3.0, 500  # cost at homes of its tables; homes for their share of queries, of so many
 DIALS = 4.0  # times the price of a new connection that an engine without one costs more: ties are common
 KEYED = 0.9  # share of a repeat window used: the clocks that count it are the engines'
@@ -69,6 +69,8 @@
         self.taken, self.extra = (Window(settings.ration_window_us + more) for more in (0, 1))
         burst_s = BURST_S / self.share**0.5  # chance weighs more in a smaller part of a tenant's queries
         self.buckets = {t.name: Bucket(t.allowance_per_s * self.share, burst_s) for t in settings.tenants}
+        self.span_us = settings.fall_us + settings.dial_us  # sends of a span may all arrive in one fall time
+        self.since_us = inf  # our first event
         self.serial, self.ticking, self.asked_us, self.subscribed = 0, False, LONG_AGO, False
         self.level, self.low, self.high = 1.0, 1.0, 1.0  # in cores x share: now, least and most tried
         self.curve, self.line, self.busy, self.batch_us = Quadratic(), Line(), Moments(), LONG_AGO
@@ -81,7 +83,7 @@
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take in one event at time `now`."""
-        self.actions = []
+        self.actions, self.since_us = [], min(self.since_us, now)
         match event:
             case api.Accept():
                 self._accept(now, event)
@@ -249,7 +251,7 @@
             state.seen += 1
             state.work_us += (event.hint_us - state.work_us) * max(LEARN, 1.0 / state.seen)
         request.work_us = float(event.hint_us or state.work_us or kind.aim_us * kind.threads)
-        request.price_us = state.work_us or request.work_us  # as rule 4 counts it
+        request.price_us = max(state.work_us, request.work_us)  # rule 4 counts it, or its class's mean
         request.need_mb = event.memory_mb * exp(state.memory)
         aim_us = kind.aim_us + int(kind.aim_stretch * request.work_us / kind.threads)
         request.aim_us = min(now + aim_us, request.deadline_us)
@@ -326,13 +328,20 @@
                     return False
         if engine.warmth(now, s.ramp_us) >= 1:
             return True
-        budget = COLD * s.fall_multiple * s.cold_from * UTIL_HIGH * engine.cores * s.fall_us
-        if s.instances > TURNS:  # a part each would hold no query: by turns, of which a window meets TURNS
-            turn = (now - entry.boot_us) * (TURNS - 1) // s.fall_us + crc32(repr(engine.process()).encode())
+        sent = self.cold.setdefault(engine.process(), Window(self.span_us)).total(now)
+        return sent + request.price_us <= self._part(engine, now)
+
+    def _part(self, engine: Engine, now: int) -> float:
+        """Rule 4: the work that this gateway may send a cold engine in a span that ends now."""
+        s, (_, boot_us), span_us = self.s, engine.process(), self.span_us
+        if boot_us < self.since_us and now < self.since_us + span_us:
+            return 0.0  # what an earlier life of ours has sent there is not known: taken as all of it
+        if s.instances > TURNS:  # a part each would hold no query: by turns, of which a span meets TURNS
+            turn = (now - boot_us) * (TURNS - 1) // span_us + crc32(repr(engine.process()).encode())
             if turn % s.instances != s.me:
-                return False
-        sent = self.cold.setdefault(engine.process(), Window(s.fall_us)).total(now)
-        return sent + request.price_us <= budget / min(s.instances, TURNS)
+                return 0.0
+        budget = COLD * UTIL_HIGH * s.fall_multiple * s.cold_from * engine.cores * s.fall_us
+        return budget / min(s.instances, TURNS)
 
     def _send(self, request: Request, engine: Engine, now: int) -> None:
         """The one place that emits a send."""
--- a/ashcross/lifecycle/settings.py
+++ b/ashcross/lifecycle/settings.py
@@ -12,6 +12,7 @@
 GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
 SHORTAGES = {"queue": api.MemoryShort.WAIT, "trim": api.MemoryShort.SHRINK, "swap": api.MemoryShort.PAGE}
 REPORTS = {"inline": "inline", "on_probe": "on_probe", "off": "off"}
+DIAL_US = 1_000_000  # where the settings name no time for dials
 MEMBERSHIP = {"automatic": False, "subscribe": True}
 
 
@@ -92,6 +93,7 @@
         dial_price=conf.section("Deductions").number("Handshake", 0.0),
         probe_price=conf.section("Deductions").number("Probe", 0.0),
         idle_us=limits.integer("ConnIdle", 0),
+        dial_us=limits.integer("DialTimeout", DIAL_US),
         drain_grace_us=rules.integer("DrainGrace", 0),
         cold_from=rules.number("ColdFrom", 1.0),
         ramp_us=rules.integer("RampTime", 0),
@@ -114,7 +116,7 @@
         longest_give_up_us=max(item.give_up_us for item in classes),
         answer_slack_us=rules.integer("AnswerSlack", 0),
         idle_us=limits.integer("ConnIdle", 0),
-        dial_timeout_us=limits.integer("DialTimeout", 1_000_000),
+        dial_timeout_us=settings.dial_us,
         multiplex=limits.integer("Multiplex", 1, least=1),
         most_open=limits.integer("MaxOpen", 10_000, least=1),
     )
--- a/tests/world.py
+++ b/tests/world.py
@@ -54,6 +54,7 @@
     dial_price=0.0,
     probe_price=0.0,
     idle_us=0,
+    dial_us=250_000,
     drain_grace_us=1_000_000,
     cold_from=0.3,
     ramp_us=15_000_000,
