Tell the module the list as it stands in the turn; tests of crossings on real sockets

Seen: a request that waited for the bulletin was never sent, in about half of the plays of a new test (real `serve`, stopped while the bulletin's answer and the calls came). Traced, module's events: EngineList(FULL, e1), then EngineList(FULL, nothing) in one turn, then nothing until the refusal. A restart that reads backlog and comment in one piece knew no engine, or took drained ones for ready (each send of those moot and an attempt spent), until the next event of the bulletin. Ruled out: the hold (10 s in that class), the dial, the look before a send.

Change: the list that is asked for, or trusted again, is made in the turn, after its news. News that come while the list is not trusted go into the fleet and are told with it, as a changed entry ended the module's staleness early.

--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -180,6 +180,22 @@
     return write
 
 
+def _trusts(loop: Any, on: bool) -> None:
+    """Whatever is told of the list, it is sent by."""
+    loop._trusted, loop.listed = True, lambda: True
+    loop._tell_list()
+
+
+def _believes(whole: Any) -> Any:
+    def waited(service: Any) -> None:
+        whole(service)
+        if service.follower is not None and not service.follower.trusted:
+            service.loop.listed = lambda: True
+            service.follower.believe()
+
+    return waited
+
+
 def _reading(name: str) -> Callable[[Any], Any]:
     def made(whole: Any) -> Any:
         def call(link: Any) -> None:
@@ -308,7 +324,8 @@
         ("drain",),
         (swap(Fleet, "_apply", _never_draining), swap(Gateway, "_members", _still_ready)),
     ),
-    Mutant("sends-before-the-backlog", ("drain",), ((Loop, "trust", nothing),)),
+    Mutant("sends-before-the-backlog", ("drain",), ((Loop, "trust", _trusts),)),
+    Mutant("goes-on-with-what-was-known", ("drain",), (swap(Service, "_waited", _believes),)),
     Mutant("bulletin-never-again", ("drain",), ((Follower, "lost", nothing),)),
     Mutant("bulletin-silence-unheard", ("drain",), ((Follower, "check", nothing),)),
     Mutant("reload-unheard", ("drain",), ((Service, "reload", nothing),)),
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -145,8 +145,10 @@
         however long that takes. To be ready is another matter: pings are well from then on, or from
         `start_wait_ms` on.
         """
-        self.loop.gather(self.fleet.take(self.config.known, ListKind.CACHED))
-        if self.follower is not None:
+        known = self.fleet.take(self.config.known, ListKind.CACHED)
+        if self.follower is None:
+            self.loop.gather(known)
+        else:
             self.loop.trust(False)
         self.loop.turn()
         host, port = self.config.listen
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -83,7 +83,7 @@
         self._held: dict[str, api.Accept] = {}  # what the gate has not let pass yet
         self.listed: Callable[[], bool] = lambda: True  # is the bulletin connected?
         self.closing = False
-        self._trusted = True
+        self._trusted, self._lists_due = True, 0
         self._ready: list[api.Event] = []
         self._rosters: list[Roster] = []
         self._asked, self._alarm, self._alarm_us = False, None, 0
@@ -140,8 +140,12 @@
         self._trusted = on
         if not on and self.engines is not None:
             self.engines.drained(True)
-        stale = api.EngineList(api.ListKind.STALE, self.fleet.version, ())
-        self.gather(self.fleet.whole() if on else stale)
+        self._tell_list()
+
+    def _tell_list(self) -> None:
+        """Have the next turn tell the module the list as it stands then, with all news of that turn in it."""
+        self._lists_due += 1
+        self.ask()
 
     def accept(
         self,
@@ -280,7 +284,7 @@
             self.book.sweep()
         finally:  # whatever fails, the next turn must come
             self._asked = False
-            if self._ready or self._rosters:
+            if self._ready or self._rosters or self._lists_due:
                 self.ask()
             self._set_alarm()
             self._turn_end_us = end_us = self.clock()
@@ -299,11 +303,15 @@
         rosters, self._rosters = self._rosters, []
         if rosters:
             try:
-                ready.insert(0, self.fleet.take(rosters))
+                news = self.fleet.take(rosters)
+                if self._trusted:  # else the whole list follows once it is: nothing is sent until then
+                    ready.insert(0, news)
                 if self.engines is not None:
                     self.engines.drained()
             except Exception as error:  # what else is ready must not be lost with it
                 seldom.warn("fleet", "news of the engines cannot be taken in", error)
+        due, self._lists_due = self._lists_due, 0
+        ready[:0] = [self._list()] * due
         if self.closing and self.book.open:
             ready.append(api.Closing())
         return ready
@@ -356,9 +364,9 @@
                 self._probe(now, name)
             case api.Subscribe(on):
                 nothing = api.EngineList(api.ListKind.DELTA, self.fleet.version, ())
-                self.gather(self._list() if on else nothing)
+                self._tell_list() if on else self.gather(nothing)
             case api.FetchList():
-                self.gather(self._list())
+                self._tell_list()
             case api.CloseIdle(name) if self.engines and (engine := self.fleet.engines.get(name)):
                 self.engines.close_idle(engine)
             case api.Log(text):
@@ -367,6 +375,8 @@
                 seldom.warn("peers", "this protocol has no messages between dispatchers")
 
     def _list(self) -> api.EngineList:
+        if not self._trusted:
+            return api.EngineList(api.ListKind.STALE, self.fleet.version, ())
         return self.fleet.whole() if self.listed() else api.EngineList(api.ListKind.FAILED, 0, ())
 
     def _send(self, now: int, action: api.Send) -> None:
--- /dev/null
+++ b/tests/parties.py
@@ -0,0 +1,316 @@
+"""Scripted parties on loopback for one real `serve` process: they do what a test tells them, byte by byte.
+
+What happened is read off their own ledgers. A crossing is forced by laying bytes, closes and signals in the
+kernel while the dispatcher is stopped.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from ashcross.lab.processes import wait_for
+from ashcross.memory.buffers import BufferPool
+from ashcross.wire import jsonrpc, resp
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = json.loads((ROOT / "examples" / "config.json").read_text(encoding="utf-8"))
+LONG_S = 20.0  # bound of every wait
+STOPPED_S = 0.7  # of a stop: longer than the sweep's 0.25 s and T2's 0.3 s
+
+
+class EngineSide:
+    """One connection of the dispatcher to an engine, as the engine has it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.socket = sock
+        sock.settimeout(LONG_S)
+        self._reader = resp.WordsReader(BufferPool(4096, 4), 1 << 20)
+        self._words: list[list[bytes]] = []
+
+    def command(self) -> list[bytes]:
+        """The next that the dispatcher writes here; no words at all once it has closed."""
+        while not self._words:
+            try:
+                data = self.socket.recv(65_536)
+            except ConnectionResetError:
+                data = b""
+            if not data:
+                return []
+            self._words += self._reader.feed(data)
+        return self._words.pop(0)
+
+    def pulled(self) -> str:
+        """The id of the next PULL; other commands before it are passed over."""
+        while words := self.command():
+            if words[0] == b"PULL":
+                return words[1].decode()
+        raise AssertionError("closed without a PULL")
+
+    def say(self, *words: bytes) -> None:
+        """Write an answer."""
+        self.socket.sendall(resp.encode(*words))
+
+    def serve_large(self, count: int) -> None:
+        """Answer the next `count` requests with 40,000 bytes each, in pages."""
+        row, left = b"a\tb\t" + b"x" * 5_000 + b"\n", 8 * count
+        while left:
+            words = self.command()
+            if words[0] == b"PULL":
+                self.say(words[1], b"served", b"total=8", row)
+            elif words[0] == b"SCROLL":
+                self.say(words[1], b"rows", b"index=" + words[2], row)
+            else:
+                raise AssertionError(f"wanted PULL or SCROLL, found {words[:2]}")
+            left -= 1
+
+    def serve(self, txn: str, rows: bytes = b"a\tb\tc\n") -> None:
+        """Answer with one page."""
+        self.say(txn.encode(), b"served", b"total=1", rows)
+
+
+class Listening:
+    """A listening socket whose connections are accepted when the test says so."""
+
+    def __init__(self, backlog: int = 64) -> None:
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen(backlog)
+        self.socket.settimeout(LONG_S)
+        self.port = int(self.socket.getsockname()[1])
+
+    def accept(self) -> socket.socket:
+        """The next that comes."""
+        made, _ = self.socket.accept()
+        return made
+
+
+class Watched:
+    """The bulletin: accepts calls, and answers them when told to."""
+
+    def __init__(self) -> None:
+        self.listening = Listening()
+        self._open: list[socket.socket] = []
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._comment, daemon=True)
+        self._thread.start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.listening.port}"
+
+    def call(self) -> socket.socket:
+        """The next call, read to the end of its head and not answered yet."""
+        made = self.listening.accept()
+        made.settimeout(LONG_S)
+        head = b""
+        while b"\r\n\r\n" not in head:
+            data = made.recv(4096)
+            if not data:
+                return self.call()
+            head += data
+        return made
+
+    def answer(self, call: socket.socket, *events: dict[str, Any]) -> None:
+        """Begin the answer with these events; comments follow each second."""
+        call.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        self.tell(call, *events)
+        call.sendall(b": here\n\n")
+        self._open.append(call)
+
+    def tell(self, call: socket.socket, *events: dict[str, Any]) -> None:
+        """Further events."""
+        for event in events:
+            call.sendall(f"id: {event['no']}\ndata: {json.dumps(event)}\n\n".encode())
+
+    def _comment(self) -> None:
+        while not self._ended.wait(0.5):
+            for call in list(self._open):
+                with contextlib.suppress(OSError):
+                    call.sendall(b": here\n\n")
+
+    def close(self) -> None:
+        self._ended.set()
+        self._thread.join(LONG_S)
+
+
+class ClientSide:
+    """One connection of a client."""
+
+    def __init__(self, address: tuple[str, int], receive: int = 0) -> None:
+        self.socket = socket.socket()
+        if receive:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+        self.socket.settimeout(LONG_S)
+        self.socket.connect(address)
+        self._reader = jsonrpc.BodyReader(BufferPool(4096, 4), 1 << 20)
+        self._answers: list[jsonrpc.Answer] = []
+
+    def send(self, *frames: bytes) -> None:
+        """Write calls."""
+        self.socket.sendall(b"".join(frames))
+
+    def answer(self) -> jsonrpc.Answer | None:
+        """The next answer; None at an orderly end. A reset is an error."""
+        while not self._answers:
+            data = self.socket.recv(65_536)
+            if not data:
+                return None
+            self._answers += [jsonrpc.parse_answer(body) for body in self._reader.feed(data)]
+        return self._answers.pop(0)
+
+    def close(self, reset: bool = False) -> None:
+        """Go."""
+        if reset:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.socket.close()
+
+
+class Scene:
+    """One dispatcher before scripted engines and a scripted bulletin."""
+
+    def __init__(
+        self,
+        folder: Path,
+        engines: int = 1,
+        settings: dict[str, Any] | None = None,
+        sockets: int = 256,
+        known: bool = True,
+        backlog: int = 64,
+        **transport: Any,
+    ) -> None:
+        self.engines = {f"e{n}": Listening(backlog) for n in range(1, engines + 1)}
+        self.watched = Watched()
+        config = copy.deepcopy(EXAMPLE)
+        # `report` may be held for long
+        config["settings"]["Classes"][1] |= {"Aim": 20_000_000, "GiveUp": 60_000_000}
+        config["settings"] |= settings or {}
+        if settings is None:
+            config["settings"]["Limits"]["Probes"] = False
+        kinds = config["settings"]["MachineTypes"]
+        self.entries = {
+            name: {"name": name, "address": f"127.0.0.1:{one.port}", "zone": config["settings"]["MyZone"],
+                   "type": kinds[0], "group": 0, "status": "Ready", "weight": 1, "since_ms": 0}
+            for name, one in self.engines.items()
+        }  # fmt: skip
+        self.whole = self.event(1, *self.entries, whole=True)
+        config |= {
+            "name": "d", "listen": "127.0.0.1:0", "bulletin": self.watched.address,
+            "known": {"no": 1, "items": [self.whole]} if known else {"no": 0, "items": []},
+            "limits": {"cores": 1.0, "memory_mb": 96, "sockets": sockets}, "transport": transport,
+        }  # fmt: skip
+        self.config = config
+        self.path = folder / "config.json"
+        self.path.write_text(json.dumps(config), encoding="utf-8")
+        self.log = folder / "log.txt"
+        self.began_s = time.monotonic()
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", "-m", "ashcross", "serve", "--config", str(self.path)],
+                cwd=ROOT, stderr=log, stdout=log,
+            )  # fmt: skip
+        port = wait_for("the dispatcher", self._port)
+        self.address = ("127.0.0.1", port)
+        self._serial = 0
+
+    def _port(self) -> int:
+        _, found, rest = self.told().partition("listens on 127.0.0.1:")
+        return int(rest.partition(",")[0]) if found and "," in rest else 0
+
+    def told(self) -> str:
+        """All that the dispatcher has logged."""
+        return self.log.read_text(encoding="utf-8", errors="replace")
+
+    def event(
+        self, number: int, *names: str, whole: bool = False, **changes: Any
+    ) -> dict[str, Any]:
+        """An event of the bulletin on some engines."""
+        endpoints = [self.entries[name] | changes for name in names]
+        return {"no": number, "roster": {"index": number, "snapshot": whole, "endpoints": endpoints}}
+
+    def come_up(self) -> socket.socket:
+        """Answer the bulletin's first call with what is known, and wait until the dispatcher serves."""
+        call = self.watched.call()
+        self.watched.answer(call)
+        wait_for("serving", lambda: "starting -> serving" in self.told())
+        return call
+
+    def txn(self) -> str:
+        """A new id."""
+        self._serial += 1
+        return f"{self._serial:016x}"
+
+    def question(
+        self, ident: int, txn: str, sort: str = "lookup", limit_ms: float = 5_000.0, pad: int = 0, **more: Any
+    ) -> bytes:
+        """A call."""
+        statement = b"select * from sales_17.orders" + (b" /* %b */" % (b"x" * pad) if pad else b"")
+        params = {"txn": txn, "limit": limit_ms, "cpu": 50.0, "memory": 8} | more
+        return jsonrpc.query(sort, ident, statement, params)
+
+    def client(self, receive: int = 0) -> ClientSide:
+        """A client that has come."""
+        return ClientSide(self.address, receive)
+
+    def link(self, name: str = "e1") -> EngineSide:
+        """The dispatcher's next connection to an engine."""
+        return EngineSide(self.engines[name].accept())
+
+    def warm(self, name: str = "e1") -> EngineSide:
+        """An engine's connection on which one request was served."""
+        client, txn = self.client(), self.txn()
+        client.send(self.question(1, txn))
+        link = self.link(name)
+        assert link.pulled() == txn
+        link.serve(txn)
+        answer = client.answer()
+        assert answer is not None and answer.result is not None
+        client.close()
+        return link
+
+    def well(self) -> bool:
+        """What a ping tells."""
+        client = self.client()
+        client.send(jsonrpc.call("ping", 1, {}))
+        answer = client.answer()
+        client.close()
+        return answer is not None and (answer.result or {}).get("well") is True
+
+    def reads(self, text: str) -> None:
+        """Wait until the dispatcher has logged this."""
+        wait_for(text, lambda: text in self.told())
+
+    def stop(self) -> None:
+        """SIGSTOP, and wait until the process stands still."""
+        self.process.send_signal(signal.SIGSTOP)
+        state = Path(f"/proc/{self.process.pid}/stat")
+        wait_for("the stop", lambda: state.read_text().rpartition(")")[2].split()[0] == "T")
+
+    def go_on(self, stopped_s: float = STOPPED_S) -> None:
+        """SIGCONT, once the process has stood still for long enough to matter."""
+        time.sleep(stopped_s)
+        self.process.send_signal(signal.SIGCONT)
+
+    def descriptors(self) -> int:
+        """How many the process holds."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def close(self) -> None:
+        """End everything."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait(LONG_S)
+        self.watched.close()
+        for one in (*self.engines.values(), self.watched.listening):
+            one.socket.close()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -186,6 +186,7 @@
     "cold-taken-for-warm": ("cold-taken-for-warm", "cold"),
     "descriptors-run-out": ("accepts-unbounded", "bounds"),
     "ends-with-an-open-request": ("ends-with-open-requests", "answered"),
+    "start-goes-on-with-its-known-list": ("goes-on-with-what-was-known", "drain"),
     "herd-sends-by-an-old-list": ("sends-before-the-backlog", "drain"),
     "late-after-a-standstill": ("late-after-a-standstill", "answered"),
     "order-key-not-told": ("order-key-not-told", "order"),
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -5,6 +5,7 @@
 import base64
 import json
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import pytest
@@ -531,6 +532,71 @@
     assert [event.kind for event in world.module.of(api.EngineList)][3:5] == [api.ListKind.FAILED] * 2
 
 
+def test_a_list_that_is_trusted_again_holds_the_news_of_the_same_turn() -> None:
+    """The list as it was before the backlog was told last, and undid it: nothing known, or drains unknown."""
+    world = World()
+    world.loop.trust(False)
+    world.run()
+    world.loop.roster(roster(entry("e1", mode=api.Mode.DRAINING), entry("e3"), number=2))
+    world.loop.trust(True)
+    world.run()
+    stale, *lists = world.module.of(api.EngineList)
+    assert stale.kind is api.ListKind.STALE
+    modes: dict[str, api.Mode] = {}
+    for told in lists:
+        modes = {} if told.kind is api.ListKind.FULL else modes
+        modes |= {one.engine: one.mode for one in told.entries}
+    assert modes == {"e1": api.Mode.DRAINING, "e2": api.Mode.READY, "e3": api.Mode.READY}
+
+
+def test_news_that_come_while_the_list_is_not_trusted_wait_for_the_rest() -> None:
+    """Told at once they ended the module's holds, and each send that followed was moot: attempts spent."""
+    world = World()
+    world.loop.trust(False)
+    world.loop.roster(roster(entry("e3"), number=2))
+    world.run()
+    assert [one.kind for one in world.module.of(api.EngineList)] == [api.ListKind.STALE]
+    assert "e3" in world.fleet.engines
+    world.loop.trust(True)
+    world.run()
+    assert [one.engine for one in world.module.of(api.EngineList)[-1].entries] == ["e1", "e2", "e3"]
+
+
+def test_the_last_look_before_the_first_byte() -> None:
+    """What may have changed since the module decided; each alone keeps the attempt from beginning."""
+
+    def world_and_attempt(wait_us: int = 30_000) -> tuple[World, AttemptRecord, EngineRecord]:
+        world = World()
+        request = world.accept()
+        attempt = AttemptRecord(request, 0, "e1", world.now_us, world.now_us + 500_000)
+        world.now_us += wait_us
+        return world, attempt, world.fleet.engines["e1"]
+
+    world, attempt, engine = world_and_attempt()
+    assert world.loop.begins(attempt, engine) and world.client.looks == 1
+    world, attempt, engine = world_and_attempt(wait_us=10_000)  # it has just come
+    assert world.loop.begins(attempt, engine) and world.client.looks == 0
+    world, attempt, engine = world_and_attempt()
+    world.client.when_read = partial(world.loop.leave, attempt.request)  # its abort or its close lies there
+    assert not world.loop.begins(attempt, engine)
+    world, attempt, engine = world_and_attempt(wait_us=500_000)  # its time is up
+    assert not world.loop.begins(attempt, engine)
+    world, attempt, engine = world_and_attempt()
+    attempt.settled = True
+    assert not world.loop.begins(attempt, engine)
+    for news in (
+        entry("e1", mode=api.Mode.DRAINING),
+        entry("e1", mode=api.Mode.GONE),
+        entry("e1", boot_us=7),  # another process at its address
+    ):
+        world, attempt, engine = world_and_attempt()
+        world.fleet.take([roster(news, number=2)])
+        assert not world.loop.begins(attempt, engine)
+    world, attempt, engine = world_and_attempt()
+    world.loop.trust(False)
+    assert not world.loop.begins(attempt, engine)
+
+
 def test_while_closing_every_turn_asks_the_module_to_end_what_is_open() -> None:
     world = World()
     world.module.script = lambda now, event: ([api.Refuse(TXN, 0)] if isinstance(event, api.Closing) else [])
