Start serve with settings of two invented customers; leave a dial less of a short repeat window

Need: the operators run the program on other customers' settings. tests/test_sites.py derives settings from the two site files and plays them against one real `serve`: every class under its own name and key, names of another customer turned away, unsafe and keyed after their window failed and never sent again, a keyed one repeated under its key.

Cause of the change, from reading (not seen in a play): a further attempt of a keyed class is decided within 0.9 of its window, but one that waits for a dial was given 50 ms more whatever the window, which a window under 500 ms does not have. The wait is at most a twentieth of the shortest window now (`stale_ms` and service._dial_room_us).

--- a/ashcross/lifecycle/config.py
+++ b/ashcross/lifecycle/config.py
@@ -49,6 +49,7 @@
     linger_bytes: int = 262_144  # read and thrown away from one that is ended, or takes no more calls
     closing: int = 8  # ended connections that wait for their client's close at once
     stalled_ms: int = 750  # until an engine's answer that began and does not go on is given up
+    stale_ms: int = 50  # a further attempt whose dial took longer is not made; less for short repeat windows
     probe_timeout_ms: int = 250
     kill_wait_ms: int = 25  # from a KILL until the module may send the query again
     event_bytes: int = 1_048_576  # longest event of the bulletin
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -12,7 +12,7 @@
 from twisted.internet.task import LoopingCall
 
 from ashcross import logs
-from ashcross.gateway.interface import Closing, ListKind
+from ashcross.gateway.interface import Closing, Effect, ListKind, Settings
 from ashcross.gateway.policy import Gateway
 from ashcross.lifecycle.checks import ConfigError
 from ashcross.lifecycle.clock import Clock
@@ -40,6 +40,12 @@
     return max(2, round(wait_ms / 1000 / SWEEP_S))
 
 
+def _dial_room_us(settings: Settings) -> int:
+    """What a dial may take of a repeat window: half of what the module leaves of the shortest, a tenth."""
+    windows = (kind.window_us for kind in settings.classes if kind.effect is Effect.KEYED)
+    return min(windows, default=1 << 62) // 20
+
+
 class Part(Protocol):
     """A subsystem beside the dispatcher, as an operator's file asks for it."""
 
@@ -88,6 +94,7 @@
                 answer_bytes=t.answer_bytes,
                 bulk_bytes=t.bulk_bytes,
                 stalled_looks=_looks(t.stalled_ms),
+                stale_us=min(t.stale_ms * 1000, _dial_room_us(config.settings)),
             ),
         )
         self.loop.engines = self.engines
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -275,13 +275,12 @@
         """The dispatcher's next connection to an engine."""
         return EngineSide(self.engines[name].accept())
 
-    def warm(self, name: str = "e1") -> EngineSide:
+    def warm(self, question: bytes = b"") -> EngineSide:
         """An engine's connection on which one request was served."""
-        client, txn = self.client(), self.txn()
-        client.send(self.question(1, txn))
-        link = self.link(name)
-        assert link.pulled() == txn
-        link.serve(txn)
+        client = self.client()
+        client.send(question or self.question(1, self.txn()))
+        link = self.link()
+        link.serve(link.pulled())
         answer = client.answer()
         assert answer is not None and answer.result is not None
         client.close()
--- /dev/null
+++ b/tests/test_sites.py
@@ -0,0 +1,180 @@
+"""Configurations of the shapes of two invented customers (deploy/sites): no deployment's are assumed."""
+
+from __future__ import annotations
+
+import copy
+import time
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from twisted.internet.testing import MemoryReactorClock
+
+from ashcross.lifecycle.config import check
+from ashcross.lifecycle.service import Service
+from ashcross.wire import jsonrpc, resp
+from tests.parties import EXAMPLE, ROOT, EngineSide, Scene
+
+SITES = sorted((ROOT / "deploy" / "sites").glob("*.toml"))
+EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+FIELDS = {"inflight": "active", "util": "cpu", "x0": "x0", "x1": "x1"}
+HOW = {"answers": "inline", "probe": "on_probe", "none": "off"}
+
+
+def settings_of(site: dict[str, Any]) -> dict[str, Any]:
+    """The operators' settings object, as one instance of this site is given it."""
+    tier, rules, allow, family = site["tier"][0], site["rules"], site["allow"], site["fam"]["class"]
+    kinds = tier["kind"]
+    classes = [
+        {
+            "Name": one["name"], "Idempotency": EFFECTS[one["effect"]], "Group": one.get("group", "all"),
+            "Window": one.get("window_ms", 0) * 1000, "Aim": one["aim_ms"] * 1000,
+            "AimStretch": one["aim_stretch"], "GiveUp": one["deadline_ms"] * 1000, "Points": one["worth"],
+            "LateShare": one["late_worth"],
+        } | ({"RunsOn": one["only_kinds"]} if "only_kinds" in one else {})
+        for one in site["class"]
+    ]  # fmt: skip
+    return {
+        "Classes": classes,
+        "FailureDomains": site["net"]["zones"],
+        "FamilyInfo": {
+            "ClassLoad": [one.get("load", False) for one in family],
+            "ClassThreads": [one.get("threads", 1) for one in family],
+            "ClassWaits": [one.get("waits", False) for one in family],
+            "CostInAnswers": site["fam"]["tells_cost"], "CpuOfKind": [one["cores"] for one in kinds],
+            "GrantsCount": site["fam"]["grants"], "LargestShare": 0.4, "MemoryShort": "queue",
+            "Priorities": site["fam"]["priorities"], "SizeMb": [4096.0] * len(kinds),
+        },
+        "Guarantees": {
+            "AnswerSlack": 20_000, "AskWithin": 10_000_000, "ColdFrom": kinds[0]["cold_from"][0],
+            "DrainGrace": rules["drain_grace_ms"] * 1000, "Fall": rules["fall_ms"] * 1000,
+            "FallMultiple": rules["fall_multiple"], "RampTime": int(kinds[0]["cold_s"][1] * 1e6),
+        },
+        "Instances": site["scale"]["balancers"][1], "Me": 1, "MembershipMode": "automatic",
+        "Limits": {
+            "ConnIdle": tier["conn"]["idle_s"] * 1_000_000, "DialTimeout": 250_000,
+            "MaxAttempts": allow["max_attempts"], "MaxOpen": 4_000,
+            "MaxRetryAfter": site["clients"]["max_retry_after_ms"] * 1000, "MayCancel": allow["cancel"],
+            "Multiplex": tier["conn"]["streams"], "Probes": False, "RetryAfter": allow["retry_after"],
+            "SecondCopies": allow["second_copies"],
+        },
+        "MachineTypes": [one["name"] for one in kinds], "MyZone": site["net"]["zones"][0],
+        "OverShareWorth": site["load"]["over_share_worth"],
+        "Report": {
+            "Fields": [FIELDS[name] for name in tier["report"]["fields"]], "How": HOW[tier["report"]["how"]],
+        },
+        "Step": site["day"]["tick_ms"] * 1000,
+        "Tenants": [{"Name": one["name"], "AllowancePerS": 100.0} for one in site["tenant"]],
+    }  # fmt: skip
+
+
+class Play:
+    """One site's scene: two engines, and whoever of them is pulled from."""
+
+    def __init__(self, path: Path, folder: Path, cancel: bool = True) -> None:
+        self.site = tomllib.loads(path.read_text(encoding="utf-8"))
+        self.site["allow"]["cancel"] = cancel
+        self.scene = Scene(folder, engines=1, settings=settings_of(self.site))
+        self.scene.come_up()
+        self.links: list[EngineSide] = []
+        self.classes = {one["name"]: one for one in self.site["class"]}
+        self.team = self.site["tenant"][-1]["name"]
+
+    def warm(self) -> EngineSide:
+        return self.scene.warm(self.question(1, "f" * 16, self.of("safe")[0]["name"]))
+
+    def of(self, effect: str) -> list[dict[str, Any]]:
+        return [one for one in self.site["class"] if one["effect"] == effect]
+
+    def question(self, ident: int, txn: str, sort: str, **more: Any) -> bytes:
+        one = self.classes[sort]
+        key = {"unique": f"{int(txn, 16):032x}"} if one["effect"] == "keyed" else {}
+        named = {"limit_ms": one["deadline_ms"] * 0.9, "team": self.team} | key | more
+        return self.scene.question(ident, txn, sort, **named)
+
+
+@pytest.fixture(params=SITES, ids=lambda path: path.stem)
+def play(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[Play]:
+    # a keyed query that is called off is repeated within its window, and never comes to its end
+    made = Play(request.param, tmp_path, cancel="may_not" not in request.function.__name__)
+    yield made
+    made.scene.close()
+
+
+def test_there_are_two_sites_of_unlike_shape() -> None:
+    sites = [tomllib.loads(path.read_text(encoding="utf-8")) for path in SITES]
+    assert len(sites) == 2 and len({len(site["class"]) for site in sites}) == 2
+    for site in sites:
+        effects = [one["effect"] for one in site["class"]]
+        assert "unsafe" in effects and min(one.get("window_ms", 1 << 30) for one in site["class"]) <= 2_000
+
+
+def test_each_class_is_served_under_its_own_name_and_key(play: Play) -> None:
+    client, link = play.scene.client(), None
+    for ident, one in enumerate(play.site["class"], 1):
+        txn = play.scene.txn()
+        client.send(play.question(ident, txn, one["name"]))
+        link = link or play.scene.link()
+        word, pulled, fields, _ = link.command()
+        told = resp.fields(fields)
+        assert (word, pulled.decode(), told["sort"]) == (b"PULL", txn, one["name"])
+        assert told.get("op") == (f"{int(txn, 16):032x}" if one["effect"] == "keyed" else None)
+        link.serve(txn)
+        answer = client.answer()
+        assert answer is not None and (answer.ident, answer.result is not None) == (ident, True)
+    for ident, sort in enumerate(("lookup", "match-report"), 50):  # another customer's
+        client.send(play.scene.question(ident, play.scene.txn(), sort))
+        answer = client.answer()
+        assert answer is not None and answer.code == jsonrpc.UNKNOWN_METHOD
+    client.send(play.question(60, play.scene.txn(), play.site["class"][0]["name"], team="acme"))
+    answer = client.answer()
+    assert answer is not None and answer.code == jsonrpc.INVALID_PARAMS
+
+
+def test_what_may_not_be_repeated_is_failed_and_never_sent_again(play: Play) -> None:
+    """Unsafe: after `crashed`, which may have run. Keyed: after its short window, on the engine's clock."""
+    client, link = play.scene.client(), play.warm()
+    keyed = min(play.of("keyed"), key=lambda one: one["window_ms"])
+    for ident, one in enumerate((play.of("unsafe")[0], keyed), 1):
+        txn = play.scene.txn()
+        client.send(play.question(ident, txn, one["name"]))
+        assert link.pulled() == txn
+        time.sleep(one.get("window_ms", 0) / 1000)  # later is as good
+        link.say(txn.encode(), b"crashed", b"-", b"")
+        answer = client.answer()
+        assert answer is not None and (answer.ident, answer.code) == (ident, jsonrpc.FAILED)
+        later = play.scene.txn()
+        client.send(play.question(ident + 10, later, play.of("safe")[0]["name"]))
+        assert link.pulled() == later
+        link.serve(later)
+        answer = client.answer()
+        assert answer is not None and answer.result is not None
+    play.scene.engines["e1"].socket.settimeout(0.0)
+    with pytest.raises(BlockingIOError):  # a further attempt would have taken a connection of its own
+        play.scene.engines["e1"].accept()
+
+
+def test_a_short_window_leaves_a_dial_less_time() -> None:
+    """A further attempt is decided within nine tenths of its window, and must not leave after the rest."""
+    for window_us, stale_us in ((12_000_000, 50_000), (400_000, 20_000)):
+        content = copy.deepcopy(EXAMPLE)
+        content["settings"]["Classes"][2]["Window"] = window_us
+        reactor: Any = MemoryReactorClock()  # type: ignore[no-untyped-call]
+        assert Service(check(content), reactor).engines.limits.stale_us == stale_us
+
+
+def test_a_keyed_request_is_repeated_under_its_key_within_its_window(play: Play) -> None:
+    client, link = play.scene.client(), play.warm()
+    keyed, txn = min(play.of("keyed"), key=lambda one: one["window_ms"]), play.scene.txn()
+    client.send(play.question(1, txn, keyed["name"]))
+    first = link.command()
+    link.say(txn.encode(), b"crashed", b"-", b"")
+    again = play.scene.link()
+    second = again.command()
+    assert [word[:2] for word in (first, second)] == [[b"PULL", txn.encode()]] * 2
+    assert resp.fields(first[2])["op"] == resp.fields(second[2])["op"]
+    again.serve(txn)
+    answer = client.answer()
+    assert answer is not None and answer.result is not None
