--- a/ashcross/lifecycle/config.py
+++ b/ashcross/lifecycle/config.py
@@ -47,7 +47,7 @@
     accepts: int = 8  # connections taken at once before other sockets have their turn
     linger_ms: int = 500  # how long one that is ended may take to read what was written, and to close
     linger_bytes: int = 262_144  # read and thrown away from one that is ended, or takes no more calls
-    closing: int = 8  # ended connections that wait for their client's close at once
+    lingering: int = 8  # ended connections that wait for their client's close at once
     stalled_ms: int = 750  # until an engine's answer that began and does not go on is given up
     stale_ms: int = 50  # a further attempt whose dial took longer is not made; less for short repeat windows
     probe_timeout_ms: int = 250
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -117,7 +117,7 @@
                 accepts=t.accepts,
                 linger_s=t.linger_ms / 1000,
                 linger_bytes=t.linger_bytes,
-                closing=t.closing,
+                lingering=t.lingering,
             ),
         )
         self.follower: Follower | None = None
@@ -311,7 +311,7 @@
 
     def _leave(self, until_us: int) -> None:
         """The end of the process closes what is open: not over answers that are under way, if that can be."""
-        if self.clients.closing and self.clock() < until_us:
+        if self.clients.lingering and self.clock() < until_us:
             self.reactor.callLater(LEAVE_LOOK_S, self._leave, until_us)
         else:
             self.reactor.stop()
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -39,7 +39,7 @@
     accepts: int  # connections taken at once before other sockets have their turn
     linger_s: float  # how long an ended connection may take to read what was written, and to close its side
     linger_bytes: int  # thrown away unread from one that is ended, until it is closed over the rest
-    closing: int  # ended connections that are kept open for that
+    lingering: int  # ended connections that are kept open for that
 
 
 class ClientLink(Protocol):
@@ -100,7 +100,7 @@
         self._clients.went(self)
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self._clients.closes(self)
+        self._clients.lingers(self)
 
     def let_go(self) -> None:
         """It has had its time: close, over what may still come."""
@@ -123,7 +123,7 @@
         if not self.open:
             self.finish()
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """End it now: what is open here is failed, as nothing may end without an answer."""
         for request in list(self.open.values()):
             self._loop.turn_out(request)
@@ -212,7 +212,7 @@
         if self._ended:  # a flood must not be read for as long as it lasts
             self.let_go()
         else:
-            self.give_way()
+            self.evict()
 
     def _take(self, body: bytes, arrived_us: int) -> None:
         try:
@@ -326,7 +326,7 @@
         self.links: dict[ClientLink, None] = {}  # that used longest ago first
         self.silent: dict[ClientLink, None] = {}  # those without a whole call, that came first first
         self.rude: dict[ClientLink, None] = {}  # those with strikes
-        self.closing: dict[ClientLink, None] = {}  # half-closed ones; their descriptors are still ours
+        self.lingering: dict[ClientLink, None] = {}  # half-closed ones; their descriptors are still ours
         self.unsent = 0
         self._port: Any = None
         self._accepting, self._taken = False, 0
@@ -338,11 +338,11 @@
             self._accepting = True
             self.later(0, self._accepted)
         if len(self.links) >= self.limits.connections:
-            leaves = self._dispensable()
+            leaves = self._to_evict()
             if leaves is None:
                 seldom.warn("client", "too many connections; a new one is turned away")
                 return None
-            leaves.give_way()
+            leaves.evict()
         return ClientLink(self)
 
     def listens(self, port: Any) -> None:
@@ -360,7 +360,7 @@
         if self._port is not None:
             self._port.numberAccepts = self.limits.accepts
 
-    def _dispensable(self) -> ClientLink | None:
+    def _to_evict(self) -> ClientLink | None:
         """Who makes room: rude clients first, then the silent, then who has rested for longest.
 
         Of a fresh connection nothing is known; it goes last. What lies unread is read before anybody else
@@ -391,26 +391,26 @@
         self.unsent -= link.unsent
         link.unsent = 0
 
-    def closes(self, link: ClientLink) -> None:
+    def lingers(self, link: ClientLink) -> None:
         """Our side is shut; the client has a while to read and to shut its own, if few are so at once."""
-        self.closing[link] = None
+        self.lingering[link] = None
         self.later(self.limits.linger_s, self._linger_over, link)
-        if len(self.closing) > self.limits.closing:
-            self._linger_over(next(iter(self.closing)))
+        if len(self.lingering) > self.limits.lingering:
+            self._linger_over(next(iter(self.lingering)))
 
     def _linger_over(self, link: ClientLink) -> None:
-        if link in self.closing:
+        if link in self.lingering:
             link.read_out()
-        if link in self.closing:
+        if link in self.lingering:
             link.let_go()
 
     def closed(self, link: ClientLink) -> None:
         """It is closed on both sides, or has had its time."""
-        self.closing.pop(link, None)
+        self.lingering.pop(link, None)
 
     def finish(self) -> None:
         """The process ends: every connection does, and all of them may wait for their clients' closes."""
-        self.limits = replace(self.limits, closing=1 << 30)  # nothing new needs their descriptors
+        self.limits = replace(self.limits, lingering=1 << 30)  # nothing new needs their descriptors
         for link in list(self.links):
             link.finish()
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -85,7 +85,7 @@
         bounds = {
             "connections": 3, "open_per_connection": 4, "body_bytes": 2000, "unsent_bytes": 500,
             "link_buffer_bytes": 4096, "waiting_buffers": 40, "strikes": 4, "silent_looks": 3,
-            "idle_us": 5_000_000, "accepts": 8, "linger_s": 0.5, "linger_bytes": 5_000, "closing": 3,
+            "idle_us": 5_000_000, "accepts": 8, "linger_s": 0.5, "linger_bytes": 5_000, "lingering": 3,
         } | limits  # fmt: skip
         self.reactor: Any = MemoryReactorClock()  # type: ignore[no-untyped-call]
         self.loop.fresh = False  # who comes now was not waiting since the start
@@ -458,16 +458,16 @@
 
 
 def test_a_connection_that_was_shut_is_closed_with_its_client_and_holds_its_place_until_then() -> None:
-    world = ClientWorld(closing=2)
+    world = ClientWorld(lingering=2)
     wires = []
     for _ in range(3):
         link, wire = world.connect()
         link.part()
         wires.append(wire)
     assert [wire.closed for wire in wires] == [True, False, False]  # one too many: the first has had its time
-    assert len(world.clients.closing) == 2
-    world.clients.closing.copy().popitem()[0].connectionLost(GONE)
-    assert len(world.clients.closing) == 1
+    assert len(world.clients.lingering) == 2
+    world.clients.lingering.copy().popitem()[0].connectionLost(GONE)
+    assert len(world.clients.lingering) == 1
 
 
 def test_a_flood_after_the_end_is_read_up_to_a_bound() -> None:
@@ -479,7 +479,7 @@
         link.dataReceived(b"x" * 1000)
     assert not wire.closed
     link.dataReceived(b"x")
-    assert wire.closed and not world.clients.closing
+    assert wire.closed and not world.clients.lingering
 
 
 def test_a_parting_client_that_leaves_is_heard_and_one_that_floods_is_failed() -> None:
