Drop a request that was taken and given up within a turn before it is told

Cause, from reading: the look at a client before a send (Loop.begins) may read a whole new request and its abort in the middle of a turn. The book drops it at that turn's end, and the next one looked it up for its time left: a KeyError, caught, counted and logged as a fault of the module. Nothing was owed or sent. Loop._hand_over passes over such an event now; the module hears of the client's going alone, which names nothing it knows. The test fails without the change.

--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -344,7 +344,10 @@
         for event in ready:
             try:
                 if isinstance(event, api.Accept):  # what has passed since its last byte is gone
-                    left_us = self.book.requests[event.request].deadline_us - now
+                    request = self.book.requests.get(event.request)
+                    if request is None:  # taken and given up within the turn before, at a look at its client
+                        continue
+                    left_us = request.deadline_us - now
                     event = replace(event, left_us=max(0, left_us))
                 actions += self.module.handle(now, event)
             except Exception as error:  # a fault costs this event, never the process
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -74,11 +74,13 @@
         self.pulled: list[AttemptRecord] = []
         self.probes: list[ProbeRecord] = []
         self.closed: list[str] = []
+        self.when_pulled: Callable[[AttemptRecord, EngineRecord], Any] = lambda attempt, engine: None
 
     def pull(self, attempt: AttemptRecord, engine: EngineRecord) -> None:
         attempt.link = self.link
         attempt.stage = Stage.ASKED
         self.pulled.append(attempt)
+        self.when_pulled(attempt, engine)
 
     def probe(self, probe: ProbeRecord, engine: EngineRecord) -> None:
         self.probes.append(probe)
@@ -616,6 +618,25 @@
     assert not world.loop.begins(attempt, engine)
 
 
+def test_a_request_that_is_taken_and_given_up_within_a_turn_is_never_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The look at a client before a send may read a whole request and its abort; the book drops it then."""
+    faults: list[tuple[Any, ...]] = []
+    monkeypatch.setattr("ashcross.loop.seldom.warn", lambda *told: faults.append(told))
+    world = World()
+    world.sends("e1")
+    first = world.accept()
+    world.now_us += 30_000
+    world.client.when_read = lambda: world.loop.leave(world.accept("b" * 16, ident=8))
+    world.engines.when_pulled = lambda attempt, engine: world.loop.begins(attempt, engine)
+    world.run()
+    world.run()
+    assert world.client.looks == 1 and not first.over and not faults
+    assert [event.request for event in world.module.of(api.Accept)] == [TXN]
+    assert [event.request for event in world.module.of(api.ClientGone)] == ["b" * 16]
+
+
 def test_while_closing_every_turn_asks_the_module_to_end_what_is_open() -> None:
     world = World()
     world.module.script = lambda now, event: ([api.Refuse(TXN, 0)] if isinstance(event, api.Closing) else [])
