Correct two comments on what is read of ended connections

Need, from reading the whole change once more: one comment said that bytes of an ended connection are thrown away unread, while they are read; another left out that the bound on reads also bounds the rounds of accepts at the end.

--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -18,7 +18,7 @@
 from ashcross.wire.statement import group_of_tables, table_of
 
 FRESH_LOOKS = 2  # sweeps after which a connection without a call goes before one that rests after its calls
-READS_MOST = 64  # reads of one look at a connection: who writes faster than that is looked at again
+READS_MOST = 64  # reads of one look at a connection, rounds of accepts at the end: floods are not followed
 ROOM_LOOKS = 16  # connections looked at to make room for one
 CLOSE_S = 0.05  # for the last bytes of a connection that has had its time
 
@@ -38,7 +38,7 @@
     idle_us: int  # after which a connection on which nothing is open is ended
     accepts: int  # connections taken at once before other sockets have their turn
     linger_s: float  # how long an ended connection may take to read what was written, and to close its side
-    linger_bytes: int  # thrown away unread from one that is ended, until it is closed over the rest
+    linger_bytes: int  # read and thrown away from one that is ended, until it is closed over the rest
     lingering: int  # ended connections that are kept open for that
 
 
