--- /dev/null
+++ b/ashcross/lab/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults below a real process: a preloaded library for clock, sockets and files, and a fault proxy."""
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -118,9 +118,11 @@
     def address(self) -> str:
         return f"127.0.0.1:{self.listening.port}"
 
-    def call(self) -> socket.socket:
+    def call(self, bound_s: float = LONG_S) -> socket.socket:
         """The next call, read to the end of its head and not answered yet."""
+        self.listening.socket.settimeout(bound_s)
         made = self.listening.accept()
+        self.listening.socket.settimeout(LONG_S)
         made.settimeout(LONG_S)
         head = b""
         while b"\r\n\r\n" not in head:
@@ -142,6 +144,10 @@
         for event in events:
             call.sendall(f"id: {event['no']}\ndata: {json.dumps(event)}\n\n".encode())
 
+    def quiet(self) -> None:
+        """Say nothing more on the calls that are answered; they stay open."""
+        self._open = []
+
     def _comment(self) -> None:
         while not self._ended.wait(0.5):
             for call in list(self._open):
@@ -196,6 +202,7 @@
         sockets: int = 256,
         known: bool = True,
         backlog: int = 64,
+        environment: dict[str, str] | None = None,
         **transport: Any,
     ) -> None:
         self.engines = {f"e{n}": Listening(backlog) for n in range(1, engines + 1)}
@@ -226,7 +233,7 @@
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-B", "-m", "ashcross", "serve", "--config", str(self.path)],
-                cwd=ROOT, stderr=log, stdout=log,
+                cwd=ROOT, stderr=log, stdout=log, env=os.environ | (environment or {}),
             )  # fmt: skip
         port = wait_for("the dispatcher", self._port)
         self.address = ("127.0.0.1", port)
@@ -326,12 +333,16 @@
         ends = (self.address[1], client.socket.getsockname()[1])
         return next((queue for local, remote, _, queue in sockets() if (local, remote) == ends), 0)
 
+    def dialling(self, name: str) -> set[int]:
+        """The ports from which a connection to this engine is asked for that has not come up."""
+        port = self.engines[name].port
+        return {
+            local for local, remote, state, _ in sockets() if (remote, state) == (port, SYN_SENT)
+        }
+
     def dials(self, name: str, but: set[int]) -> bool:
         """Is a connection to this engine asked for that has not come up, from none of these ports?"""
-        port = self.engines[name].port
-        return any(
-            (remote, state) == (port, SYN_SENT) and local not in but for local, remote, state, _ in sockets()
-        )
+        return bool(self.dialling(name) - but)
 
     def fill(self, client: ClientSide, link: EngineSide) -> None:
         """Have large answers served to a client that does not read, until the kernel takes no more."""
--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,188 @@
+"""A step of the wall clock moves no wait of a real `serve` process.
+
+The process runs with the fault shim, which adds an offset to the wall clock and to nothing else. Each test
+names the waits that it measures, by the machine's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ashcross.lab.faults.shim import Shim
+from ashcross.lab.processes import wait_for
+from ashcross.wire import jsonrpc
+from tests.parties import LONG_S, ClientSide, Scene
+
+STEPS_S = (-3600.0, -5.0, -0.2, 5.0, 3600.0)
+GRACE_S = 0.5  # of a final answer after its time
+BUSY_S = 1.0  # what a busy machine may add to any wait here
+
+
+class Bed:
+    """Scenes whose process runs with the shim; each step of the clock has a bed of its own."""
+
+    def __init__(self, folder: Path, library: Path) -> None:
+        folder.mkdir()
+        self.folder = folder
+        self.shim = Shim(folder, "d", library)
+        self.scenes: list[Scene] = []
+
+    def scene(self, **more: Any) -> Scene:
+        self.scenes.append(Scene(self.folder, environment=self.shim.environment, **more))
+        return self.scenes[-1]
+
+    def close(self) -> None:
+        for scene in self.scenes:
+            scene.close()
+
+
+@pytest.fixture
+def bed(tmp_path: Path, shim_library: Path) -> Iterator[Bed]:
+    made = Bed(tmp_path / "bed", shim_library)
+    yield made
+    made.close()
+
+
+Check = Callable[[Bed, float], None]
+
+
+@pytest.fixture
+def each_step(tmp_path: Path, shim_library: Path) -> Iterator[Callable[[Check], None]]:
+    """Runs a check with every step of the clock at once, each before a process of its own."""
+    beds = {step_s: Bed(tmp_path / f"step{step_s}", shim_library) for step_s in STEPS_S}
+
+    def run(check: Check) -> None:
+        with ThreadPoolExecutor(len(beds)) as pool:
+            runs = {step_s: pool.submit(check, bed, step_s) for step_s, bed in beds.items()}
+        faults = {step_s: repr(run.exception()) for step_s, run in runs.items() if run.exception()}
+        assert faults == {}
+
+    yield run
+    for bed in beds.values():
+        bed.close()
+
+
+def seconds_until(happens: Callable[[], Any]) -> float:
+    """How long a call takes, by the monotonic clock."""
+    began_s = time.monotonic()
+    happens()
+    return time.monotonic() - began_s
+
+
+def test_the_shim_moves_the_wall_clock_of_a_real_process_and_nothing_else(bed: Bed) -> None:
+    bed.shim.step_wall_clock(-3600.0)
+    scene = bed.scene()
+    scene.come_up()
+    stamp = scene.told().split("T", 1)[1][:8]
+    told_s = sum(int(part) * unit for part, unit in zip(stamp.split(":"), (3600, 60, 1), strict=True))
+    now = time.localtime()
+    now_s = now.tm_hour * 3600 + now.tm_min * 60 + now.tm_sec
+    assert abs((now_s - told_s) % 86400 - 3600) < 60
+    served = scene.warm()
+    assert served is not None
+
+
+def test_deadlines_sweeps_and_stalled_answers_keep_their_time(each_step: Callable[[Check], None]) -> None:
+    """Deadlines of open requests, silent clients, stalled answers, then a new request at rest."""
+    each_step(check_deadlines_sweeps_and_stalled_answers_keep_their_time)
+
+
+def check_deadlines_sweeps_and_stalled_answers_keep_their_time(bed: Bed, step_s: float) -> None:
+    scene = bed.scene(silent_ms=1_000)
+    scene.come_up()
+    link = scene.warm()
+    client, mute = scene.client(), scene.client()
+    stalled, overdue = scene.txn(), scene.txn()
+    client.send(scene.question(1, stalled, "report", 9_000.0), scene.question(2, overdue, "report", 1_500.0))
+    sent_s = time.monotonic()
+    assert {link.pulled(), link.pulled()} == {stalled, overdue}
+    bed.shim.step_wall_clock(step_s)
+    answer = client.answer()  # its deadline
+    assert answer is not None and answer.ident == 2
+    assert time.monotonic() - sent_s < 1.5 + GRACE_S
+    mute.socket.settimeout(1.0 + BUSY_S)
+    assert mute.answer() is None  # ended by the sweep
+    link.socket.sendall(b"*4\r\n$16\r\n" + stalled.encode()[:8])  # half an answer, and no more
+    assert seconds_until(lambda: drained(link.socket)) < 0.75 + 0.5 + BUSY_S
+    fresh, txn = scene.client(), scene.txn()
+    fresh.send(scene.question(1, txn, "report", 1_500.0))
+    assert seconds_until(fresh.answer) < 1.5 + GRACE_S
+
+
+def drained(sock: socket.socket) -> None:
+    """Read until the other side has closed."""
+    try:
+        while sock.recv(65_536):
+            pass
+    except ConnectionResetError:
+        pass
+
+
+def fill_accept_queue(port: int) -> list[socket.socket]:
+    """Connect until one does not come up any more."""
+    filling = []
+    for _ in range(8):
+        one = socket.socket()
+        one.settimeout(0.2)
+        filling.append(one)
+        try:
+            one.connect(("127.0.0.1", port))
+        except TimeoutError:
+            break
+    return filling
+
+
+def open_at(scene: Scene, client: ClientSide) -> bool:
+    """Does the dispatcher still hold its side of a connection? States 1, 4, 5 and 8 have an owner."""
+    port = client.socket.getsockname()[1]
+    return any(
+        (local, remote) == (scene.address[1], port) and state in (1, 4, 5, 8)
+        for local, remote, state, _ in tcp_sockets_with_owner()
+    )
+
+
+def tcp_sockets_with_owner() -> Iterator[tuple[int, int, int, int]]:
+    """TCP sockets that a process still holds: local and remote port, state, inode."""
+    for line in Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]:
+        parts = line.split()
+        if parts[9] != "0":
+            yield int(parts[1][9:], 16), int(parts[2][9:], 16), int(parts[3], 16), int(parts[9])
+
+
+def test_a_drain_answers_and_ends_in_its_time(each_step: Callable[[Check], None]) -> None:
+    """The drain's looks, its quiet time, its last answers, the end of the process."""
+    each_step(check_a_drain_answers_and_ends_in_its_time)
+
+
+def check_a_drain_answers_and_ends_in_its_time(bed: Bed, step_s: float) -> None:
+    scene = bed.scene()
+    scene.come_up()
+    link, client, txn = scene.warm(), scene.client(), scene.txn()
+    client.send(scene.question(1, txn, "report", 20_000.0))
+    assert link.pulled() == txn
+    scene.process.send_signal(signal.SIGTERM)
+    stopped_s = time.monotonic()
+    wait_for("the drain", lambda: "serving -> draining" in scene.told())
+    bed.shim.step_wall_clock(step_s)
+    answer = client.answer()
+    assert answer is not None and answer.ident == 1
+    assert scene.process.wait(LONG_S) == 0
+    assert time.monotonic() - stopped_s < 3.7  # SIGKILL comes no sooner
+
+
+def test_the_answer_to_a_ping_needs_no_clock(bed: Bed) -> None:
+    """Control: what waits for nothing is not moved, with or without the mend."""
+    scene = bed.scene()
+    scene.come_up()
+    bed.shim.step_wall_clock(-3600.0)
+    client = scene.client()
+    client.send(jsonrpc.call("ping", 1, {}))
+    assert client.answer() is not None
