Count every wait of the process by the monotonic clock, not by the wall clock

Cause: twisted/python/runtime.py takes `seconds` from time.time, and callLater, LoopingCall and time-outs of endpoints count by it.

Change: one reactor of the program's own (lifecycle/reactor.py), the epoll reactor with time.monotonic, installed before anything can import another. Log lines carry the monotonic second as well, as the wall clock orders nothing.

Measured: test_wall_clock.py, real process, steps of -3600, -5, -0.2, 5 and 3600 s.

--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -19,6 +19,7 @@
 from ashcross.lifecycle.config import Config, set_descriptor_limit
 from ashcross.lifecycle.door import BACKLOG, Door
 from ashcross.lifecycle.phases import Phase, Phases
+from ashcross.lifecycle.reactor import install as install_reactor
 from ashcross.lifecycle.signals import Signals
 from ashcross.logs import seldom
 from ashcross.loop import HostLimits, Loop
@@ -328,9 +329,7 @@
 
     `attach` puts beside the dispatcher what an operator's file asks for.
     """
-    from twisted.internet import reactor as default_reactor  # the import alone makes the system's reactor
-
-    reactor: Any = default_reactor
+    reactor = install_reactor()
     set_descriptor_limit(config.sockets)
     logs.watch_twisted()
     service = Service(config, reactor)
--- a/ashcross/logs.py
+++ b/ashcross/logs.py
@@ -9,17 +9,23 @@
 
 from loguru import logger
 
-FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {name}: {message}"
+# the wall clock may be stepped: the seconds behind it are of the monotonic clock, and order the lines
+FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {extra[monotonic_s]:.3f} {level: <7} {name}: {message}"
 GAP_S = 5.0
 
 
 def start(level: str) -> None:
     """Send lines of this level and above to standard error."""
     logger.remove()
+    logger.configure(patcher=_stamp)
     # no variables in tracebacks: they could hold statements
     logger.add(sys.stderr, level=level, format=FORMAT, backtrace=False, diagnose=False)
 
 
+def _stamp(record: Any) -> None:
+    record["extra"]["monotonic_s"] = time.monotonic()
+
+
 def watch_twisted() -> None:
     """Pass on what Twisted logs of faults in protocols and Deferreds; the rest of its lines is dropped."""
     from twisted.logger import globalLogBeginner
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -19,7 +19,7 @@
 from ashcross.lab.faults.shim import Shim
 from ashcross.lab.processes import wait_for
 from ashcross.wire import jsonrpc
-from tests.parties import LONG_S, ClientSide, Scene
+from tests.parties import EXAMPLE, LONG_S, ClientSide, Scene
 
 STEPS_S = (-3600.0, -5.0, -0.2, 5.0, 3600.0)
 GRACE_S = 0.5  # of a final answer after its time
@@ -126,6 +126,33 @@
         pass
 
 
+def test_dials_and_lingering_closes_keep_their_time(each_step: Callable[[Check], None]) -> None:
+    """The time-out of a dial, after which its request is tried again; the end of a lingering connection."""
+    each_step(check_dials_and_lingering_closes_keep_their_time)
+
+
+def check_dials_and_lingering_closes_keep_their_time(bed: Bed, step_s: float) -> None:
+    limits = EXAMPLE["settings"]["Limits"] | {"DialTimeout": 700_000, "Probes": False}
+    scene = bed.scene(settings={"Limits": limits}, backlog=0, linger_ms=1_000)
+    scene.come_up()
+    queue = scene.engines["e1"]
+    filling = fill_accept_queue(queue.port)
+    ours = {one.getsockname()[1] for one in filling}
+    client, rude = scene.client(), scene.client()
+    client.send(scene.question(1, scene.txn(), "report", 60_000.0))
+    began_s = time.monotonic()
+    rude.send(b"nonsense\r\n\r\n")
+    assert rude.answer() is not None
+    assert rude.answer() is None  # half-closed, and it lingers
+    (dialled,) = wait_for("the dial", lambda: scene.dialling("e1") - ours)
+    bed.shim.step_wall_clock(step_s)
+    wait_for("the dial's end", lambda: dialled not in scene.dialling("e1"), 0.7 + BUSY_S)
+    assert time.monotonic() - began_s > 0.5  # no sooner either
+    wait_for("the lingering close", lambda: not open_at(scene, rude), 1.0 + BUSY_S)
+    for one in filling:
+        one.close()
+
+
 def fill_accept_queue(port: int) -> list[socket.socket]:
     """Connect until one does not come up any more."""
     filling = []
@@ -178,6 +205,60 @@
     assert time.monotonic() - stopped_s < 3.7  # SIGKILL comes no sooner
 
 
+def test_a_start_is_ready_in_its_time(each_step: Callable[[Check], None]) -> None:
+    """The wait of a start for a bulletin that says nothing, and what is answered meanwhile."""
+    each_step(check_a_start_is_ready_in_its_time)
+
+
+def check_a_start_is_ready_in_its_time(bed: Bed, step_s: float) -> None:
+    scene = bed.scene(start_wait_ms=1_500)
+    scene.watched.call()  # taken, and not answered
+    bed.shim.step_wall_clock(step_s)
+    client = scene.client()
+    client.send(scene.question(1, scene.txn(), limit_ms=1_000.0))
+    assert seconds_until(client.answer) < 1.0 + GRACE_S
+    wait_for("ready", scene.well, 1.5 + BUSY_S)
+
+
+def test_a_silent_watch_is_noticed_in_its_time(each_step: Callable[[Check], None]) -> None:
+    """Silence on the watch, the retry after a break, and the age from which its list is not sent by."""
+    each_step(check_a_silent_watch_is_noticed_in_its_time)
+
+
+def check_a_silent_watch_is_noticed_in_its_time(bed: Bed, step_s: float) -> None:
+    scene = bed.scene(trust_ms=3_000, bulletin_silence_ms=1_000)
+    call = scene.come_up()
+    scene.watched.quiet()
+    bed.shim.step_wall_clock(step_s)
+    again = scene.watched.call(1.0 + BUSY_S)  # fallen silent: asked again
+    again.close()
+    scene.watched.call(0.5 + BUSY_S)  # a retry after the break
+    wait_for("distrust", lambda: "trusted no more" in scene.told(), 3.0 + BUSY_S)
+    call.close()
+
+
+def test_a_start_with_a_wrong_wall_clock_serves_and_ends(each_step: Callable[[Check], None]) -> None:
+    """A process that never knew the right time: deadlines and drain."""
+    each_step(check_a_start_with_a_wrong_wall_clock_serves_and_ends)
+
+
+def check_a_start_with_a_wrong_wall_clock_serves_and_ends(bed: Bed, step_s: float) -> None:
+    bed.shim.step_wall_clock(step_s)
+    scene = bed.scene()
+    scene.come_up()
+    link, client, txn = scene.warm(), scene.client(), scene.txn()
+    client.send(scene.question(1, txn, "report", 1_500.0))
+    sent_s = time.monotonic()
+    assert link.pulled() == txn
+    bed.shim.step_wall_clock(0.0)  # it is set right while a request is open
+    assert client.answer() is not None
+    assert time.monotonic() - sent_s < 1.5 + GRACE_S
+    stopped_s = time.monotonic()
+    scene.process.send_signal(signal.SIGTERM)
+    assert scene.process.wait(LONG_S) == 0
+    assert time.monotonic() - stopped_s < 3.7
+
+
 def test_the_answer_to_a_ping_needs_no_clock(bed: Bed) -> None:
     """Control: what waits for nothing is not moved, with or without the mend."""
     scene = bed.scene()
