--- a/ashcross/lifecycle/reactor.py
+++ b/ashcross/lifecycle/reactor.py
@@ -21,6 +21,6 @@
 
 def install() -> Any:
     """Make the process's one reactor; an error if something has imported another one before."""
-    reactor = MonotonicReactor()
-    installReactor(reactor)
+    reactor: Any = MonotonicReactor()  # type: ignore[no-untyped-call]
+    installReactor(reactor)  # type: ignore[no-untyped-call]
     return reactor
