Answer every whole call that was read, and bound a flood by reading less of it

Cause: the eighth call over 32 open ones parted the connection, and what lay behind it was read and thrown away: of 300 calls in one write 260 had no answer. The same with eight calls of unknown classes, and behind a call that cannot be named. A client that read its answers late lost its connection, with what was open there, once all unread answers passed their bound.

Change: calls behind such ones are refused or told their error, and the connection ends once nothing is open and the kernel holds nothing more. Calls over the bound are no strikes; such a connection is read each 50 ms. One that asks on and has taken none of 64 answers for 250 ms is not read until it does: as its close is not heard then, what is open there is failed first. A result that has no room is a failure, and its connection stays.

--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -196,6 +196,11 @@
     return waited
 
 
+def _nothing_to_read(link: Any) -> bool:
+    """A look at a client's connection that says it was read out."""
+    return True
+
+
 def _reading(name: str) -> Callable[[Any], Any]:
     def made(whole: Any) -> Any:
         def call(link: Any) -> None:
@@ -340,12 +345,12 @@
     Mutant(
         "accepts-unbounded", ("bounds",), ((Clients, "listens", nothing), (Clients, "_accepted", nothing))
     ),
-    Mutant("ends-over-unread-calls", ("answered",), ((ClientLink, "read_out", nothing),)),
+    Mutant("ends-over-unread-calls", ("answered",), ((ClientLink, "read_out", _nothing_to_read),)),
     Mutant(
         "slow-readers-are-not-read",
         ("answered",),
         (
-            (ClientLink, "read_out", nothing),
+            (ClientLink, "read_out", _nothing_to_read),
             swap(ClientLink, "pauseProducing", _reading("pauseProducing")),
             swap(ClientLink, "resumeProducing", _reading("resumeProducing")),
         ),
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -12,6 +12,7 @@
 from twisted.internet.task import LoopingCall
 
 from ashcross import logs
+from ashcross.audit import audit
 from ashcross.gateway.interface import Closing, Effect, ListKind, Settings
 from ashcross.gateway.policy import Gateway
 from ashcross.lifecycle.checks import ConfigError
@@ -119,6 +120,7 @@
                 linger_s=t.linger_ms / 1000,
                 linger_bytes=t.linger_bytes,
                 lingering=t.lingering,
+                unread_us=host.longest_give_up_us,
             ),
         )
         self.follower: Follower | None = None
@@ -223,7 +225,7 @@
         """A line on what has been done so far."""
         logger.info(
             "{}; open {}, clients {}, engine connections {}, spoilt {}, answers for nothing {}, "
-            "bulletin {} at {}, worst lag {:.1f} ms, longest turn {:.1f} ms",
+            "bulletin {} at {}, worst lag {:.1f} ms, longest turn {:.1f} ms; reasons: {}",
             ", ".join(f"{name} {count}" for name, count in self.loop.counts.items()),
             self.book.open,
             len(self.clients.links),
@@ -234,6 +236,7 @@
             self.follower.last if self.follower is not None else self.config.known_no,
             self.loop.worst_lag_us / 1000,
             self.loop.worst_turn_us / 1000,
+            audit.summary(),
         )
         self.loop.worst_lag_us = self.loop.worst_turn_us = 0
 
@@ -332,6 +335,7 @@
     reactor = install_reactor()
     set_descriptor_limit(config.sockets)
     logs.watch_twisted()
+    audit.detailed = config.transport.log_level == "DEBUG"
     service = Service(config, reactor)
     if attach is not None:
         attach(service)
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from ashcross.audit import Event, audit
 from ashcross.gateway import interface as api
 from ashcross.gateway.interface import Outcome
 from ashcross.logs import seldom
@@ -224,8 +225,9 @@
         is another process, or the list is too old to send by.
         """
         request, now = attempt.request, self.clock()
-        if now - request.arrived_us > LEFT_US:
-            request.client.read_out()
+        if now - request.arrived_us > LEFT_US and not request.client.read_out():
+            audit.note(Event.SKIP, "its client floods its connection", request.txn)
+            return False
         known = self._trusted and engine.ready and self.fleet.engines.get(engine.name) is engine
         if request.over or attempt.settled or now >= attempt.until_us or not known:
             return False
@@ -253,8 +255,7 @@
         if attempt.link is not None:
             attempt.link.give_up(attempt)
         if outcome is Outcome.GOOD and not request.over:
-            pages = [page or b"" for page in attempt.pages]
-            self._answer(request, jsonrpc.rows(request.ident, pages), "served")
+            self._serve(request, [page or b"" for page in attempt.pages])
         attempt.pages = []
         now = self.clock()
         told = (attempt, outcome, now - attempt.sent_us, own)
@@ -265,6 +266,15 @@
         else:
             self._tell(told)
 
+    def _serve(self, request: RequestRecord, pages: list[bytes]) -> None:
+        """The result goes to its client if that reads; what lies here unread is bounded."""
+        frame = jsonrpc.rows(request.ident, pages)
+        if request.client.has_room(len(frame)):
+            self._answer(request, frame, "served")
+        else:
+            audit.note(Event.FAIL, "its client does not read", request.txn)
+            self._answer(request, jsonrpc.failure(request.ident), "failed")
+
     def _tell(self, told: tuple[AttemptRecord, Outcome, int, bool]) -> None:
         attempt, outcome, latency_us, own = told
         self.gather(
--- a/ashcross/memory/book.py
+++ b/ashcross/memory/book.py
@@ -19,8 +19,11 @@
     def reply(self, ident: int, frame: bytes) -> None:
         """Write the whole answer."""
 
-    def read_out(self) -> None:
-        """Take in what the client has sent until now, and whether it has gone."""
+    def has_room(self, size: int) -> bool:
+        """May an answer of this size be written, or would too much lie unread?"""
+
+    def read_out(self) -> bool:
+        """Take in what the client has sent until now, and whether it has gone; False if it sends too much."""
 
 
 class Link(Protocol):
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from ashcross.audit import Event, audit
 from ashcross.logs import seldom
 from ashcross.memory.book import RequestRecord
 from ashcross.memory.buffers import BufferPool
@@ -19,8 +20,13 @@
 
 FRESH_LOOKS = 2  # sweeps after which a connection without a call goes before one that rests after its calls
 READS_MOST = 64  # reads of one look at a connection, rounds of accepts at the end: floods are not followed
+READS_OVER_BOUND = 4  # the same on a connection whose calls are over a bound
 ROOM_LOOKS = 16  # connections looked at to make room for one
+RESULTS_SHARE = 0.75  # of the bound on unread answers, for results: refusals and failures need the rest
 CLOSE_S = 0.05  # for the last bytes of a connection that has had its time
+HOLD_OFF_S = 0.05  # between reads from a client whose calls are over a bound: their cost is bounded
+READ_AHEAD = 2  # times the open requests allowed: so many answers may lie unread until no call is read,
+UNREAD_US = 250_000  # if none of them was taken for so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +46,7 @@
     linger_s: float  # how long an ended connection may take to read what was written, and to close its side
     linger_bytes: int  # read and thrown away from one that is ended, until it is closed over the rest
     lingering: int  # ended connections that are kept open for that
+    unread_us: int = 5_000_000  # how long answers may lie here unread on a connection that is otherwise idle
 
 
 class ClientLink(Protocol):
@@ -52,8 +59,15 @@
         self.reader = jsonrpc.BodyReader(clients.pool, clients.limits.body_bytes)
         self.open: dict[int, RequestRecord] = {}
         self.unsent, self._paused, self._ended = 0, False, False
+        self._paused_us = 0  # since when its client takes nothing
         self._unread_answers = 0  # written since its client stopped reading
-        self.parting = False  # takes no more calls, and is ended once nothing is open on it
+        self.parting = False  # every further call is refused, and it is ended once nothing is open on it
+        self._framed = True  # it is known where the next call begins
+        self._feeding = self._reading_out = False
+        self._over_bound = False  # the read at hand brought a call over a bound
+        self._held_off = self._stopped = False  # not read: for a moment, or until its client reads
+        self._flooded_us = -(1 << 62)  # when more lay in the kernel than is read at once
+        self._unread_since_us: int | None = None  # since when it was not read, until it is
         self._reads = self._thrown_away = 0
         self.calls = self.strikes = 0
         self._calls_seen = self.looks = 0
@@ -87,7 +101,7 @@
         self._clients.went(self)  # the reactor tells later; until then it would be chosen again to make room
         self.transport.abortConnection()
 
-    def finish(self) -> None:
+    def finish(self, reason: str) -> None:
         """End the connection: write out, half-close, and close once the client has closed its side too.
 
         Closed over bytes that were not read, a connection is reset, and what was written may go with it. So
@@ -95,13 +109,25 @@
         """
         if self._ended:
             return
+        audit.note(Event.CLOSE_CLIENT, reason, self._peer())
+        if self.open:
+            audit.violation("a connection is ended with requests open", reason, *self.open_ids())
         self._ended = True
         self.reader.close()
         self._clients.went(self)
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
+        if self._held_off or self._stopped:
+            self.transport.resumeProducing()  # its close has to be heard
         self._clients.lingers(self)
 
+    def _peer(self) -> str:
+        return str(getattr(self.transport.getPeer(), "port", "")) if audit.detailed else ""
+
+    def open_ids(self) -> list[str]:
+        """The transactions of its open requests."""
+        return [request.txn for request in self.open.values()]
+
     def let_go(self) -> None:
         """It has had its time: close, over what may still come."""
         self._clients.closed(self)
@@ -113,36 +139,70 @@
         if self.transport.connected:
             self.transport.abortConnection()
 
-    def part(self) -> None:
-        """Take no more calls from here; what is open gets its answers, and then the connection ends.
+    def part(self, reason: str, framed: bool = True) -> None:
+        """Refuse every further call; what is open gets its answers, and then the connection ends.
 
-        It is read on, as nothing else would tell that the client has gone.
+        It is read on, as nothing else would tell that the client has gone, and as every call that was read
+        is owed an answer. `framed` is False where it is not known any more at which byte a call begins.
         """
+        if not self.parting:
+            seldom.warn(
+                "client", f"{reason}; its connection is ended, open there: {self.open_ids() or 'nothing'}"
+            )
         self.parting = True
-        self.reader.close()
+        if not framed:
+            self._framed = False
+            self.reader.close()
+        self._end_if_done(reason)
+
+    def _end_if_done(self, reason: str) -> None:
+        """A parting connection ends once nothing is open, and what lies in the kernel has its answers too."""
+        if not self.parting or self._feeding or self._reading_out:
+            return
+        if self._framed and not self.open:
+            self.read_out()
         if not self.open:
-            self.finish()
+            self.finish(reason)
 
-    def evict(self) -> None:
+    def evict(self, reason: str) -> None:
         """End it now: what is open here is failed, as nothing may end without an answer."""
+        self.parting = self._reading_out = True  # nothing more is taken, and nothing more is read
         for request in list(self.open.values()):
             self._loop.turn_out(request)
-        self.finish()
+        self.finish(reason)
 
-    def read_out(self) -> None:
-        """Take in what lies in the kernel now, and the client's close behind it.
+    def read_out(self) -> bool:
+        """Take in what lies in the kernel now, and the client's close behind it; False if that is too much.
 
         A connection is not ended over a call that came, and nothing is begun for a client that has gone.
         """
-        for _ in range(READS_MOST):
+        if self._reading_out or self._feeding:
+            return True
+        now = self._loop.clock()
+        if self._stopped or now - self._flooded_us < HOLD_OFF_S * 1e6:
+            return False
+        self._reading_out = True
+        try:
+            empty = self._read_until_empty()
+        finally:
+            self._reading_out = False
+        if not empty:
+            self._flooded_us = now
+        return empty
+
+    def _read_until_empty(self) -> bool:
+        for done in range(READS_MOST):
             reads = self._reads
             if not self.transport.connected:
-                return
+                return True
+            if self._held_off and done >= READS_OVER_BOUND:
+                return False
             if self.transport.doRead() is not None:  # its end; the reactor finds that again and closes
                 self._gone()
-                return
+                return True
             if self._reads == reads:
-                return
+                return True
+        return False
 
     # ------------------------------------------------------- slow readers
 
@@ -151,24 +211,30 @@
 
         What may be asked on it is bounded all the same, as answers that were not read count as open.
         """
-        self._paused = True
+        self._paused, self._paused_us = True, self._loop.clock()
 
     def resumeProducing(self) -> None:
         """All that was written has been sent."""
         self._paused, self._unread_answers = False, 0
         self._clients.unsent -= self.unsent
         self.unsent = 0
+        if self._stopped:
+            self._stopped = False
+            self._read_again()
 
     def stopProducing(self) -> None:
         """The connection ends."""
 
+    def has_room(self, size: int) -> bool:
+        """May an answer of this size be written, or would too much lie here unread?"""
+        most = RESULTS_SHARE * self._clients.limits.unsent_bytes
+        return not self._paused or self._clients.unsent + size <= most
+
     def reply(self, ident: int, frame: bytes) -> None:
         """The answer to an open request."""
         self.open.pop(ident, None)
         self._write(frame)
-        self._unread_answers += self._paused
-        if self.parting and not self.open:
-            self.finish()
+        self._end_if_done("done with it")
 
     def _write(self, frame: bytes) -> None:
         if self._ended:
@@ -176,43 +242,109 @@
         self._clients.used(self)
         self.transport.write(frame)
         if self._paused:
+            self._unread_answers += 1
             self.unsent += len(frame)
             self._clients.unsent += len(frame)
+            if self._reads_nothing():
+                self._stop_reading()
             self._clients.check_unsent()
 
+    # ------------------------------------------------- clients over a bound
+
+    def _reads_nothing(self) -> bool:
+        """Has its client left more answers than usual clients ever have, for longer than a busy moment?"""
+        many = self._unread_answers >= READ_AHEAD * self._clients.limits.open_per_connection
+        return many and self._loop.clock() - self._paused_us >= UNREAD_US
+
+    def _stop_reading(self) -> None:
+        """Far more is asked here than is read: its calls stay in the kernel until it reads its answers.
+
+        Its close would not be heard now, so nothing may be left open that could still be sent on.
+        """
+        if self._stopped or self._ended:
+            return
+        self._stopped = True
+        seldom.warn(
+            "client", f"asks on and reads nothing; not read, failed there: {self.open_ids() or 'nothing'}"
+        )
+        self._pause_reading()
+        for request in list(self.open.values()):
+            self._loop.turn_out(request)
+
+    def _hold_off(self) -> None:
+        """Read nothing here for a moment, so that a flood of calls costs others little."""
+        if not self._held_off:
+            self._held_off = True
+            self._pause_reading()
+            self._clients.later(HOLD_OFF_S, self._hold_off_over)
+
+    def _hold_off_over(self) -> None:
+        self._held_off = False
+        self._read_again()
+
+    def _pause_reading(self) -> None:
+        if self._unread_since_us is None:
+            self._unread_since_us = self._loop.clock()
+        self.transport.pauseProducing()
+
+    def _read_again(self) -> None:
+        if not (self._held_off or self._stopped or self._ended) and self.transport.connected:
+            self.transport.resumeProducing()
+
     # -------------------------------------------------------------- calls
 
     def dataReceived(self, data: bytes) -> None:
         """Take in calls; bytes that cannot be parsed end this connection alone."""
         self._reads += 1
         if self._ended or self.parting:
-            self._throw_away(len(data))
+            self._count_after_the_end(len(data))
+        if self._ended or not self._framed:
             return
-        arrived_us = self._loop.arrived_us()
-        if self._loop.fresh:  # it may have come at any time since clients could write here
-            arrived_us = min(arrived_us, self._loop.opened_us)
+        arrived_us = self._arrived_us()
+        self._over_bound = False
+        self._feeding = True
         try:
-            for body in self.reader.feed(data):
-                self._clients.used(self)
-                self._take(body, arrived_us)
-                if self._ended or self.parting:
-                    return
+            self._feed(data, arrived_us)
         except FramingError as error:  # where the next call begins cannot be known any more
             self._unusable(
                 jsonrpc.CallError(jsonrpc.INVALID_REQUEST, None, error.place, error.wanted, error.found)
             )
-            self.part()
-            return
-        self._clients.check_waiting()
+            self.part("bytes that are no call", framed=False)
+        finally:
+            self._feeding = False
+        self._end_if_done("calls that cannot be used")
+        if not self._ended:
+            self._clients.check_waiting()
+        if self._over_bound and not self._ended:
+            self._hold_off()
+
+    def _feed(self, data: bytes, arrived_us: int) -> None:
+        for body in self.reader.feed(data):
+            self._clients.used(self)
+            self._take(body, arrived_us)
+            if self._ended or not self._framed:
+                return
 
-    def _throw_away(self, size: int) -> None:
+    def _arrived_us(self) -> int:
+        """When the bytes that are read now came at the earliest."""
+        arrived_us = self._loop.arrived_us()
+        if self._loop.fresh:  # it may have come at any time since clients could write here
+            arrived_us = min(arrived_us, self._loop.opened_us)
+        if self._unread_since_us is not None:
+            arrived_us = min(arrived_us, self._unread_since_us)
+            if not (self._held_off or self._stopped):
+                self._unread_since_us = None
+        return arrived_us
+
+    def _count_after_the_end(self, size: int) -> None:
+        """Bytes behind the end of a connection, or behind calls that cannot be used: up to a bound."""
         self._thrown_away += size
         if self._thrown_away <= self._clients.limits.linger_bytes:
             return
         if self._ended:  # a flood must not be read for as long as it lasts
             self.let_go()
         else:
-            self.evict()
+            self.evict("a flood behind calls that cannot be used")
 
     def _take(self, body: bytes, arrived_us: int) -> None:
         try:
@@ -221,24 +353,24 @@
             self._clients.silent.pop(self, None)
         except jsonrpc.CallError as error:
             self._unusable(error)
-            if error.ident is None or self.strikes >= self._clients.limits.strikes:
-                self.part()
+            if error.ident is None:
+                self.part("a call that cannot be named")
+            elif self.strikes >= self._clients.limits.strikes:
+                self.part("too many calls that cannot be used")
         except Exception as error:  # one call's fault costs this client alone
             seldom.warn("client", "a call cannot be handled; its connection is ended", error)
-            self.part()
+            self.part("a fault")
 
     def _unusable(self, error: jsonrpc.CallError) -> None:
         """The error goes out at once; under no id where the call cannot be named without doubt."""
         seldom.warn("client", f"a call cannot be used: {error}")
-        self._strike()
-        # an error under an id that is open would be the answer of the request that has it
-        ident = None if error.ident in self.open else error.ident
-        self._write(jsonrpc.error(ident, error.code, error.told()))
-
-    def _strike(self) -> None:
         self.strikes += 1
         if self in self._clients.links:
             self._clients.rude[self] = None
+        self._over_bound = self._over_bound or self.parting
+        # an error under an id that is open would be the answer of the request that has it
+        ident = None if error.ident in self.open else error.ident
+        self._write(jsonrpc.error(ident, error.code, error.told()))
 
     def _called(self, body: bytes, arrived_us: int) -> None:
         call = jsonrpc.parse_call(body)
@@ -272,13 +404,10 @@
             raise jsonrpc.CallError(
                 jsonrpc.INVALID_PARAMS, ident, "params.txn", "one that is not open", "one that is"
             )
-        crowded = len(self.open) + self._unread_answers >= self._clients.limits.open_per_connection
-        if crowded or book.full(len(query.statement)):
-            self._write(jsonrpc.refusal(ident, 0))  # before the module: it never ran
-            if crowded:  # no usual client asks for so many at once
-                self._strike()
-            if self.strikes >= self._clients.limits.strikes:
-                self.part()
+        reason = self._reason_to_refuse(len(query.statement))
+        if reason:  # before the module: it never ran
+            audit.note(Event.REFUSE, reason, query.txn)
+            self._write(jsonrpc.refusal(ident, 0))
             return
         known, text = self._clients.known, query.statement.decode()
         key = table_of(text) if call.method in known.in_turn else None
@@ -287,6 +416,19 @@
         if self._loop.gate is not None:
             self._loop.gate.offer(request, query.team)
 
+    def _reason_to_refuse(self, statement_bytes: int) -> str:
+        """Why a query is not taken, if it is not."""
+        limits, book = self._clients.limits, self._loop.book
+        if self.parting:
+            self._over_bound = True
+            return "behind calls that cannot be used"
+        if len(self.open) + self._unread_answers >= limits.open_per_connection:
+            self._over_bound = True  # no usual client asks for so many at once
+            return "too many open on its connection"
+        if book.full(statement_bytes):
+            return "too many open in all"
+        return ""
+
     def look(self, now: int) -> None:
         """Called by each sweep: a connection that says nothing, stops half-way or rests for long is ended."""
         if self.open or self._ended or self.parting:
@@ -297,8 +439,9 @@
         limits = self._clients.limits
         # looks are counted, not time: if this process stood still, a whole call may lie there unread
         mute = self.looks >= limits.silent_looks and (not self.calls or self.reader.waiting)
-        if (mute or now - self.used_us >= limits.idle_us) and not self.asks():
-            self.finish()
+        idle_us = max(limits.idle_us, limits.unread_us) if self._paused else limits.idle_us
+        if (mute or now - self.used_us >= idle_us) and not self.asks():
+            self.finish("silent" if mute else "idle")
 
     def asks(self) -> bool:
         """Is there a call after all, or an open request? What lies in the kernel is read first."""
@@ -342,7 +485,7 @@
             if leaves is None:
                 seldom.warn("client", "too many connections; a new one is turned away")
                 return None
-            leaves.evict()
+            leaves.evict("makes room")
         return ClientLink(self)
 
     def listens(self, port: Any) -> None:
@@ -366,8 +509,10 @@
         Of a fresh connection nothing is known; it goes last. What lies unread is read before anybody else
         goes: a request that was taken may be among it, and would be lost with the connection.
         """
-        if self.rude:
-            return next(iter(self.rude))
+        for rude in tuple(islice(self.rude, ROOM_LOOKS)):
+            rude.read_out()  # whatever was read is owed an answer, theirs too
+            if rude in self.rude:
+                return rude
         silent = (link for link in self.silent if link.looks >= FRESH_LOOKS)
         rested = (link for link in self.links if link.calls and not link.open)
         looked_at = tuple(islice(chain(silent, rested, self.silent), ROOM_LOOKS))
@@ -412,7 +557,7 @@
         """The process ends: every connection does, and all of them may wait for their clients' closes."""
         self.limits = replace(self.limits, lingering=1 << 30)  # nothing new needs their descriptors
         for link in list(self.links):
-            link.finish()
+            link.finish("the process ends")
 
     def catch_up(self) -> None:
         """Take in all that waits in the kernel: who was not accepted yet, and calls that were not read."""
@@ -429,7 +574,12 @@
         """What clients do not read is bounded: beyond that the slowest loses its connection."""
         if self.unsent > self.limits.unsent_bytes:
             slowest = max(self.links, key=lambda link: link.unsent)
-            seldom.warn("client", "answers that are not read fill their bound; a connection is closed")
+            audit.note(Event.CLOSE_CLIENT, "does not read its answers", *slowest.open_ids())
+            seldom.warn(
+                "client",
+                f"answers that are not read fill their bound; closed over {slowest.unsent} bytes, "
+                f"open there: {slowest.open_ids() or 'nothing'}",
+            )
             slowest.close()
 
     def check_waiting(self) -> None:
@@ -438,8 +588,7 @@
             largest = max(self.links, key=lambda link: link.reader.waiting, default=None)
             if largest is None or not largest.reader.waiting:
                 return  # it is the engines' answers
-            seldom.warn("client", "calls that are not whole fill their bound; a connection is ended")
-            largest.part()
+            largest.part("calls that are not whole fill their bound", framed=False)
 
     def sweep(self) -> None:
         """Look at each connection."""
