--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -13,6 +13,7 @@
 from ashcross.gateway import interface as api
 from ashcross.gateway.interface import Effect, Group, ListKind, Mode, NoteKind, Outcome
 from ashcross.gateway.leastsq import Line, Moments, Quadratic
+from ashcross.gateway.rules import NEVER_RAN, may_repeat, refusal_is_harmless
 from ashcross.gateway.state import LONG_AGO, Attempt, Bucket, ClassState, Engine, Request, Shares, Window
 
 BATCH, BATCH_PER_CLASS, BATCH_US = 30, 10, 5_000_000  # completions that close a batch, or us (design page)
@@ -42,7 +43,6 @@
 DIALS = 4.0  # times the price of a new connection that an engine without one costs more: ties are common
 KEYED = 0.9  # share of a repeat window used: the clocks that count it are the engines'
 DENSE = 2.0  # worth per second of work from which a query gets the highest priority
-NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 UNSETTLED = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # the attempt might still be running
 
 
@@ -310,8 +310,7 @@
         if not request.attempts:
             return True
         many = len(request.attempts) >= s.max_attempts or request.outs() and not s.second_copies
-        late = kind.effect is Effect.KEYED and ran and now - ran[0].sent_us > KEYED * kind.window_us
-        if many or late or ran and kind.effect is Effect.UNSAFE:
+        if many or not may_repeat(kind, ran[0].sent_us if ran else None, now, KEYED):
             return False
         allowed = s.ration_free + s.ration_share * self.taken.total(now)
         return not s.ration_window_us or self.extra.total(now) + 1 <= allowed
@@ -462,8 +461,7 @@
         if request.over:
             return
         kind, ran, ident = request.kind, request.ran(), request.event.request
-        harmless = not ran or kind.effect is Effect.SAFE or kind.effect is Effect.KEYED and (
-            kind.group is Group.ALL and now - ran[0].sent_us <= KEYED * kind.window_us)
+        harmless = refusal_is_harmless(kind, ran[0].sent_us if ran else None, now, KEYED)
         back_us = min(self.s.max_retry_after_us, kind.aim_us) * self.s.retry_after
         self.actions.append(api.Refuse(ident, back_us) if harmless else api.Fail(ident))
         self._over(request, now, False)
--- /dev/null
+++ b/ashcross/gateway/rules.py
@@ -0,0 +1,97 @@
+"""The rules: whether an attempt may begin, be repeated, or be answered as refused. No I/O, no state.
+
+The policy asks them before it decides. The host asks them again, with what it knows of the connections, right
+before the first byte of an attempt goes out. What has changed since the decision skips it. What the decision
+itself should have ruled out is a violation (`Denial.expected` is False), and is counted.
+
+Times are microseconds of one monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ashcross.gateway.interface import ClassSettings, Effect, Group, Outcome
+
+# outcomes that prove that an attempt did not run
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFacts:
+    """What is known in the moment in which an attempt would begin."""
+
+    request_is_over: bool
+    attempt_is_settled: bool
+    until_us: int  # the attempt is of no use from here on
+    deadline_us: int  # its client waits no longer
+    engine_is_ready: bool  # and is still the process that was chosen
+    list_is_fresh: bool
+    number: int
+    maximum_attempts: int
+    others_out: int  # attempts of the same request that have begun and have no outcome
+    second_copies: bool  # two of them may be out at once
+    shares_connection: bool  # with an earlier attempt of its request
+    kind: ClassSettings | None
+    first_ran_us: int | None  # when the first earlier attempt that may have run began
+
+
+@dataclass(frozen=True, slots=True)
+class Denial:
+    """Why an attempt may not begin."""
+
+    reason: str
+    expected: bool = True  # time alone may bring it about; else a decision was wrong
+
+
+def denial(facts: AttemptFacts, now: int) -> Denial | None:
+    """The first rule that bars an attempt from beginning now; None if it may."""
+    return _wrong_decision(facts) or _changed_since(facts, now)
+
+
+def _wrong_decision(facts: AttemptFacts) -> Denial | None:
+    if facts.number >= facts.maximum_attempts:
+        return Denial("more attempts than are allowed", expected=False)
+    if facts.others_out and not facts.second_copies:
+        return Denial("another attempt is out", expected=False)
+    if facts.shares_connection:
+        return Denial("an earlier attempt was on this connection", expected=False)
+    if facts.until_us > facts.deadline_us:
+        return Denial("its time goes past its client's", expected=False)
+    if facts.kind is not None and facts.kind.effect is Effect.UNSAFE and facts.first_ran_us is not None:
+        return Denial("an unsafe request that may have run", expected=False)
+    return None
+
+
+def _changed_since(facts: AttemptFacts, now: int) -> Denial | None:
+    if facts.request_is_over:
+        return Denial("the request is over")
+    if facts.attempt_is_settled:
+        return Denial("the attempt was given up")
+    if now >= facts.until_us:
+        return Denial("its time is up")
+    if not facts.engine_is_ready:
+        return Denial("its engine takes nothing new")
+    if not facts.list_is_fresh:
+        return Denial("the list of engines is too old")
+    if facts.kind is not None and not may_repeat(facts.kind, facts.first_ran_us, now):
+        return Denial("its window for repeats is over")
+    return None
+
+
+def may_repeat(kind: ClassSettings, first_ran_us: int | None, now: int, window_share: float = 1.0) -> bool:
+    """May a request be sent again, whose first attempt that may have run began at `first_ran_us`?
+
+    `window_share` is the part of a repeat window that is used, 0 to 1.
+    """
+    if first_ran_us is None or kind.effect is Effect.SAFE:
+        return True
+    return kind.effect is Effect.KEYED and now - first_ran_us <= window_share * kind.window_us
+
+
+def refusal_is_harmless(
+    kind: ClassSettings, first_ran_us: int | None, now: int, window_share: float = 1.0
+) -> bool:
+    """May the answer say that trying again does no harm, wherever the client's retry would go?"""
+    anywhere = kind.effect is Effect.SAFE or kind.group is Group.ALL
+    return first_ran_us is None or anywhere and may_repeat(kind, first_ran_us, now, window_share)
--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -10,7 +10,7 @@
 from itertools import chain
 from typing import Any
 
-from ashcross.gateway import policy, state
+from ashcross.gateway import policy, rules, state
 from ashcross.gateway.interface import Group, Mode, Outcome, Refuse
 from ashcross.gateway.policy import Gateway
 from ashcross.lab import tier_mutants, tier_world, world
@@ -312,12 +312,14 @@
     Mutant("silent-clients-stay", ("answered",), ((ClientLink, "look", nothing),)),
     Mutant("clock-follows-steps", ("answered", "drain", "left"), ((world, "Clock", _SteppingClock),)),
     Mutant(
-        "unsafe-again-after-reset", ("effect",), ((policy, "NEVER_RAN", (*policy.NEVER_RAN, Outcome.RESET)),)
+        "unsafe-again-after-reset",
+        ("effect", "invariant"),
+        ((policy, "NEVER_RAN", (*rules.NEVER_RAN, Outcome.RESET)),),
     ),
     Mutant("reset-told-as-refused", ("effect",), (swap(EngineLink, "connectionLost", _reset_as_refused),)),
     Mutant("called-off-told-as-never-ran", ("effect",), ((Loop, "_called_off", staticmethod(_moot)),)),
-    Mutant("refuses-what-may-have-run", ("effect",), (swap(Gateway, "_end", _always_refuse),)),
-    Mutant("keyed-past-its-window", ("effect",), ((policy, "KEYED", 5.0),)),
+    Mutant("refuses-what-may-have-run", ("effect", "invariant"), (swap(Gateway, "_end", _always_refuse),)),
+    Mutant("keyed-past-its-window", ("effect", "invariant"), ((policy, "KEYED", 5.0),)),
     Mutant("keyed-out-of-its-group", ("effect",), (swap(Gateway, "__init__", _any_group),)),
     Mutant("key-not-sent", ("fault", "effect"), (swap(EngineLink, "_ask", _no_key),)),
     Mutant("statement-trimmed", ("fault",), (swap(EngineLink, "_ask", _trimmed),)),
@@ -340,7 +342,9 @@
     Mutant("rest-of-key-forgotten", ("order",), ((policy, "UNSETTLED", ()),)),
     Mutant("placed-elsewhere-when-down", ("placement",), (swap(Gateway, "_may_send", _elsewhere_when_down),)),
     Mutant("ration-ignored", ("ration",), (_settings(ration_window_us=0),)),
-    Mutant("attempts-unbounded", ("ration",), (_settings(max_attempts=50), _limits(max_attempts=50))),
+    Mutant(
+        "attempts-unbounded", ("ration",), (_settings(max_attempts=50), _limits(max_attempts=50))
+    ),
     Mutant("clients-unbounded", ("bounds", "answered"), (swap(Clients, "buildProtocol", _all_come),)),
     Mutant(
         "accepts-unbounded", ("bounds",), ((Clients, "listens", nothing), (Clients, "_accepted", nothing))
--- a/ashcross/lab/world.py
+++ b/ashcross/lab/world.py
@@ -395,6 +395,8 @@
 
     def fault(self, topic: str, text: str, error: BaseException | None) -> None:
         """The program caught an exception, or warns."""
+        if topic == "violation":  # a check of the program's own
+            self.judge.broke("invariant", text)
         if error is not None:
             where = traceback.extract_tb(error.__traceback__)[-1:]
             place = f" at {where[0].filename.rsplit('/', 1)[-1]}:{where[0].name}" if where else ""
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -77,6 +77,7 @@
             lag_warn_us=t.lag_warn_ms * 1000,
             kill_wait_us=t.kill_wait_ms * 1000,
             second_copies=config.settings.second_copies,
+            classes=config.settings.classes,
             longest_us=host.longest_give_up_us,
         )
         module = Gateway(config.settings, config.seed)
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -15,6 +15,7 @@
 
 from ashcross.audit import Event, audit
 from ashcross.gateway import interface as api
+from ashcross.gateway import rules
 from ashcross.gateway.interface import Outcome
 from ashcross.logs import seldom
 from ashcross.memory.book import AttemptRecord, Book, ProbeRecord, Replies, RequestRecord, Stage
@@ -63,6 +64,7 @@
     kill_wait_us: int = 0
     longest_us: int = 1 << 62
     second_copies: bool = False
+    classes: tuple[api.ClassSettings, ...] = ()  # by the numbers that requests name
 
 
 class Loop:
@@ -184,6 +186,8 @@
         request = RequestRecord(
             query.txn, client, ident, asked.sort, query.statement, query.unique, deadline_us, arrived_us
         )
+        if asked.class_index < len(self.limits.classes):
+            request.kind = self.limits.classes[asked.class_index]
         self.book.add(request)
         self.book.deadlines.add(deadline_us + self.limits.answer_slack_us, self._overdue, request)
         self.counts["taken"] += 1
@@ -228,13 +232,40 @@
         if now - request.arrived_us > LEFT_US and not request.client.read_out():
             audit.note(Event.SKIP, "its client floods its connection", request.txn)
             return False
-        known = self._trusted and engine.ready and self.fleet.engines.get(engine.name) is engine
-        if request.over or attempt.settled or now >= attempt.until_us or not known:
+        denial = rules.denial(self._facts(attempt, engine), now)
+        if denial is not None:
+            if denial.expected:
+                audit.note(Event.SKIP, denial.reason, request.txn, attempt.number, engine.name)
+            else:
+                audit.violation(denial.reason, request.txn, attempt.number, engine.name)
             return False
+        attempt.began_us = now
+        if attempt.number:
+            last = request.attempts[attempt.number - 1].outcome
+            audit.note(Event.RETRY, last.value if last else "out", request.txn, attempt.number, engine.name)
         if self.gate is not None:
             self.gate.written(request)
         return True
 
+    def _facts(self, attempt: AttemptRecord, engine: EngineRecord) -> rules.AttemptFacts:
+        request = attempt.request
+        earlier = [one for one in request.attempts if one is not attempt]
+        return rules.AttemptFacts(
+            request_is_over=request.over,
+            attempt_is_settled=attempt.settled,
+            until_us=attempt.until_us,
+            deadline_us=request.deadline_us,
+            engine_is_ready=engine.ready and self.fleet.engines.get(engine.name) is engine,
+            list_is_fresh=self._trusted,
+            number=attempt.number,
+            maximum_attempts=self.limits.max_attempts,
+            others_out=sum(one.began_us is not None and not one.settled for one in earlier),
+            second_copies=self.limits.second_copies,
+            shares_connection=any(one.began_us is not None and one.link is attempt.link for one in earlier),
+            kind=request.kind,
+            first_ran_us=request.first_ran_us(),
+        )
+
     def leave(self, request: RequestRecord) -> None:
         """The client is gone or has given the request up; no answer is owed."""
         if not request.over:
@@ -249,7 +280,7 @@
         """
         if attempt.settled:
             return
-        attempt.settled = True
+        attempt.settled, attempt.outcome = True, outcome
         request = attempt.request
         request.resets += outcome is Outcome.RESET
         if attempt.link is not None:
@@ -391,8 +422,7 @@
                     attempt = request.attempts[number]
                     self.settle(attempt, self._called_off(attempt, Outcome.CANCELLED))
             case api.Refuse(txn, back_us) if request := self.book.requests.get(txn):
-                if not request.over:
-                    self._answer(request, jsonrpc.refusal(request.ident, -(-back_us // 1000)), "refused")
+                self._refuse(now, request, back_us)
             case api.Fail(txn) if request := self.book.requests.get(txn):
                 if not request.over:
                     self._answer(request, jsonrpc.failure(request.ident), "failed")
@@ -410,6 +440,16 @@
             case api.TellPeers():
                 seldom.warn("peers", "this protocol has no messages between dispatchers")
 
+    def _refuse(self, now: int, request: RequestRecord, back_us: int) -> None:
+        """The module's refusal, unless it would promise what does not hold."""
+        if request.over:
+            return
+        if request.kind is None or rules.refusal_is_harmless(request.kind, request.first_ran_us(), now):
+            self._answer(request, jsonrpc.refusal(request.ident, -(-back_us // 1000)), "refused")
+            return
+        audit.violation("a refusal of what may have run", request.txn)
+        self._answer(request, jsonrpc.failure(request.ident), "failed")
+
     def _list(self) -> api.EngineList:
         if not self._trusted:
             return api.EngineList(api.ListKind.STALE, self.fleet.version, ())
@@ -453,6 +493,9 @@
         self.engines.probe(probe, engine)
 
     def _answer(self, request: RequestRecord, frame: bytes, how: str) -> None:
+        if request.over:
+            audit.violation("a second answer", request.txn, how)
+            return
         self.counts[how] += 1
         self._end(request)
         request.client.reply(request.ident, frame)
--- a/ashcross/memory/book.py
+++ b/ashcross/memory/book.py
@@ -8,6 +8,8 @@
 from heapq import heapify, heappop, heappush
 from typing import Any, Protocol
 
+from ashcross.gateway.interface import ClassSettings, Outcome
+from ashcross.gateway.rules import NEVER_RAN
 from ashcross.logs import seldom
 
 COMPACT_FROM = 1024  # entries of the heap before dead ones are looked for
@@ -56,6 +58,7 @@
     unique: str | None
     deadline_us: int
     arrived_us: int  # its last byte, at the earliest
+    kind: ClassSettings | None = None  # what the settings say of its class
     priority: int | None = None
     over: bool = False
     resets: int = 0  # connections that ended while an attempt of this request was out there
@@ -66,6 +69,10 @@
         """Attempts that have no outcome yet."""
         return sum(not attempt.settled for attempt in self.attempts)
 
+    def first_ran_us(self) -> int | None:
+        """When the first of its attempts that may have run began; None if surely none has run."""
+        return next((one.began_us for one in self.attempts if one.may_have_run), None)
+
 
 @dataclass(eq=False, slots=True)
 class AttemptRecord:
@@ -84,8 +91,15 @@
     missing: int = 0
     size: int = 0
     ended: bool = False  # the engine has said its last word on it
+    began_us: int | None = None  # when its first byte was handed over
+    outcome: Outcome | None = None  # once it is settled
     report: dict[str, float] = field(default_factory=dict)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Has it begun, and is there no proof that it did not run?"""
+        return self.began_us is not None and self.outcome not in NEVER_RAN
+
 
 @dataclass(eq=False, slots=True)
 class ProbeRecord:
--- /dev/null
+++ b/tests/test_sending_rules.py
@@ -0,0 +1,126 @@
+"""The rules of sending, repeating and refusing, one fact at a time, and the host's check at run time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from ashcross.audit import Audit, Event, audit
+from ashcross.gateway import interface as api
+from ashcross.gateway import rules
+from ashcross.gateway.rules import AttemptFacts
+from tests.test_loop import TXN, World
+from tests.world import LOAD, LOOKUP
+
+UNSAFE = replace(LOOKUP, effect=api.Effect.UNSAFE)
+KEYED_IN_CELL = replace(LOAD, group=api.Group.CELL)
+FINE = AttemptFacts(
+    request_is_over=False,
+    attempt_is_settled=False,
+    until_us=2_000,
+    deadline_us=2_000,
+    engine_is_ready=True,
+    list_is_fresh=True,
+    number=1,
+    maximum_attempts=3,
+    others_out=0,
+    second_copies=False,
+    shares_connection=False,
+    kind=LOOKUP,
+    first_ran_us=500,
+)
+
+
+def test_an_attempt_that_nothing_bars_may_begin() -> None:
+    assert rules.denial(FINE, 1_999) is None
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ({"request_is_over": True}, True),
+        ({"attempt_is_settled": True}, True),
+        ({"until_us": 1_000}, True),
+        ({"engine_is_ready": False}, True),
+        ({"list_is_fresh": False}, True),
+        ({"kind": replace(LOAD, window_us=400)}, True),
+        ({"number": 3}, False),
+        ({"others_out": 1}, False),
+        ({"shares_connection": True}, False),
+        ({"until_us": 2_001}, False),
+        ({"kind": UNSAFE}, False),
+    ],
+)
+def test_each_rule_bars_by_itself(change: dict[str, Any], expected: bool) -> None:
+    denial = rules.denial(replace(FINE, **change), 1_000)
+    assert denial is not None and denial.expected is expected
+
+
+@pytest.mark.parametrize(
+    ("change", "kind"), [({"others_out": 1, "second_copies": True}, LOOKUP), ({"first_ran_us": None}, UNSAFE)]
+)
+def test_what_the_settings_allow_is_not_barred(change: dict[str, Any], kind: api.ClassSettings) -> None:
+    assert rules.denial(replace(FINE, kind=kind, **change), 1_000) is None
+
+
+@pytest.mark.parametrize(
+    ("kind", "ran_us", "repeat", "harmless"),
+    [
+        (LOOKUP, 0, True, True),
+        (UNSAFE, None, True, True),
+        (UNSAFE, 0, False, False),
+        (LOAD, 0, True, True),
+        (replace(LOAD, window_us=100), 0, False, False),
+        (KEYED_IN_CELL, 0, True, False),  # a client's retry may go to another cell
+        (KEYED_IN_CELL, None, True, True),
+    ],
+)
+def test_what_may_be_repeated_and_what_may_be_refused(
+    kind: api.ClassSettings, ran_us: int | None, repeat: bool, harmless: bool
+) -> None:
+    assert rules.may_repeat(kind, ran_us, 101) is repeat
+    assert rules.refusal_is_harmless(kind, ran_us, 101) is harmless
+
+
+@pytest.fixture
+def violations() -> Iterator[list[str]]:
+    heard: list[str] = []
+    audit.follow(lambda rule, text: heard.append(rule))
+    yield heard
+    audit.follow(None)
+
+
+def test_a_module_that_decides_against_the_rules_is_not_obeyed_and_counted(violations: list[str]) -> None:
+    """A repeat of what may have run, a refusal of it, a second answer."""
+    world = World()
+    engine = world.fleet.engines["e1"]
+    world.sends("e1", "e2")
+    request = world.accept()
+    request.kind = UNSAFE
+    world.run()
+    (first,) = request.attempts
+    assert world.loop.begins(first, engine)
+    first.link = None
+    world.loop.settle(first, api.Outcome.RESET)
+    world.run(20_000)
+    second = request.attempts[1]
+    assert not world.loop.begins(second, world.fleet.engines["e2"])
+    assert violations == ["an unsafe request that may have run"]
+    world.module.script = lambda now, event: [api.Refuse(TXN, 0)]
+    world.loop.settle(second, api.Outcome.MOOT)
+    world.run(20_000)
+    assert violations[1:] == ["a refusal of what may have run"]
+    assert [answer["error"]["code"] for answer in world.client.answers()] == [-32000]
+    world.loop._answer(request, b"", "served")
+    assert violations[2:] == ["a second answer"] and len(world.client.frames) == 1
+
+
+def test_reasons_are_counted_and_told_with_all_violations() -> None:
+    made = Audit()
+    for _ in range(3):
+        made.note(Event.REFUSE, "too many", "a")
+    made.violation("two copies", "b")
+    assert made.summary() == "VIOLATION two copies 1, refused (too many) 3"
