--- a/tests/parties.py
+++ b/tests/parties.py
@@ -205,6 +205,7 @@
         known: bool = True,
         backlog: int = 64,
         environment: dict[str, str] | None = None,
+        until_listening: bool = True,
         **transport: Any,
     ) -> None:
         self.engines = {f"e{n}": Listening(backlog) for n in range(1, engines + 1)}
@@ -237,9 +238,13 @@
                 [sys.executable, "-B", "-m", "ashcross", "serve", "--config", str(self.path)],
                 cwd=ROOT, stderr=log, stdout=log, env=os.environ | (environment or {}),
             )  # fmt: skip
-        port = wait_for("the dispatcher", self._port)
-        self.address = ("127.0.0.1", port)
         self._serial = 0
+        if until_listening:
+            self.wait_until_listening()
+
+    def wait_until_listening(self) -> None:
+        """Learn where it listens."""
+        self.address = ("127.0.0.1", wait_for("the dispatcher", self._port))
 
     def _port(self) -> int:
         _, found, rest = self.told().partition("listens on 127.0.0.1:")
--- /dev/null
+++ b/tests/test_deadline_passed_on.py
@@ -0,0 +1,50 @@
+"""The time that engines are told: at most what the client has left, with 0.15 s of slack (real process)."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ashcross.wire import resp
+from tests.parties import EngineSide, Scene
+
+SLACK_S = 0.15
+LIMIT_S = 3.0
+STANDSTILLS_S = (0.2,)
+TRIES = 14  # each at another moment of the period of a sweep
+
+
+@pytest.fixture
+def scene(tmp_path: Path) -> Iterator[Scene]:
+    made = Scene(tmp_path)
+    made.come_up()
+    yield made
+    made.close()
+
+
+def excess_s(link: EngineSide, sent_s: float) -> float:
+    """By how much the time that an engine is told of goes past what its client has left."""
+    while (words := link.command())[0] != b"PULL":
+        pass
+    left_s = LIMIT_S - (time.monotonic() - sent_s)
+    link.serve(words[1].decode())
+    return int(resp.fields(words[2])["patience"]) / 1000 - left_s
+
+
+@pytest.mark.parametrize("stopped_s", STANDSTILLS_S)
+def test_a_standstill_over_an_unread_request_is_taken_off_its_time(scene: Scene, stopped_s: float) -> None:
+    link, client = scene.warm(), scene.client()
+    worst_s = -LIMIT_S
+    for ident in range(1, TRIES + 1):
+        time.sleep(0.2 + 0.018 * ident)  # quiet, so that nothing but the sweep comes due
+        scene.stop()
+        client.send(scene.question(ident, scene.txn(), "report", LIMIT_S * 1000))
+        sent_s = time.monotonic()
+        scene.go_on(stopped_s)
+        worst_s = max(worst_s, excess_s(link, sent_s))
+        assert client.answer() is not None
+    print(f"standstill {stopped_s} s: {worst_s:.3f} s past what the client has left")
+    assert worst_s <= SLACK_S
