Tests of a watch that trickles and of a move that is not answered, known red

Any byte of the bulletin renewed the trust in the list, so half an event that trickles in kept it fresh for good, though the drain in it counts as told 7 s after it was in the bulletin.

--- /dev/null
+++ b/tests/test_watch_age.py
@@ -0,0 +1,96 @@
+"""How old the list of engines may be when something is sent by it, on real sockets (PROTOCOL)."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ashcross.lab.processes import wait_for
+from ashcross.wire import jsonrpc
+from tests.parties import Scene, Watched
+
+Make = Callable[..., Scene]
+
+
+@pytest.fixture
+def make(tmp_path: Path) -> Iterator[Make]:
+    made: list[Scene] = []
+
+    def build(**more: Any) -> Scene:
+        made.append(Scene(tmp_path, **more))
+        return made[-1]
+
+    yield build
+    for scene in made:
+        scene.close()
+
+
+def is_refused(scene: Scene) -> bool:
+    """Is a request held, and refused without having been sent?"""
+    client = scene.client()
+    client.send(scene.question(1, scene.txn(), limit_ms=1_000.0))
+    answer = client.answer()
+    client.close()
+    return answer is not None and answer.code == jsonrpc.REFUSED
+
+
+def trickle(call: socket.socket, text: bytes, ended: threading.Event) -> None:
+    """Write a byte each 0.1 s."""
+    with contextlib.suppress(OSError):
+        for byte in text:
+            if ended.wait(0.1):
+                return
+            call.sendall(bytes([byte]))
+
+
+def test_bytes_of_an_event_that_does_not_come_whole_keep_no_list_fresh(make: Make) -> None:
+    """A drain lies in the event that trickles in: it counts as told long before it is read."""
+    scene = make(trust_ms=1_500)
+    call = scene.come_up()
+    scene.warm()
+    scene.watched.quiet()
+    ended = threading.Event()
+    text = json.dumps(scene.event(2, "e1", status="Terminating")).encode()
+    writer = threading.Thread(target=trickle, args=(call, b"id: 2\ndata: " + text, ended), daemon=True)
+    writer.start()
+    wait_for("distrust", lambda: "trusted no more" in scene.told(), 3.0)
+    assert is_refused(scene)
+    ended.set()
+    writer.join()
+
+
+def test_after_a_move_the_list_is_not_sent_by_for_longer_than_the_move_allows(make: Make) -> None:
+    """What the new address has to tell counts as told 4 s after SIGHUP, though it does not answer."""
+    scene, moved = make(), Watched()
+    scene.come_up()
+    link = scene.warm()
+    scene.path.write_text(json.dumps(scene.config | {"bulletin": moved.address}), encoding="utf-8")
+    scene.process.send_signal(signal.SIGHUP)
+    began_s = time.monotonic()
+    call = moved.call()  # taken, and not answered
+    time.sleep(1.0)
+    again = Watched()  # a second move starts no new span
+    scene.path.write_text(json.dumps(scene.config | {"bulletin": again.address}), encoding="utf-8")
+    scene.process.send_signal(signal.SIGHUP)
+    second = again.call()
+    wait_for("distrust", lambda: "trusted no more" in scene.told(), 4.0 - (time.monotonic() - began_s))
+    assert is_refused(scene)
+    again.answer(second)
+    client, txn = scene.client(), scene.txn()
+    client.send(scene.question(1, txn, "report", 10_000.0))
+    assert link.pulled() == txn  # by the list that the new address has told
+    link.serve(txn)
+    assert client.answer() is not None
+    call.close()
+    for watched in (moved, again):
+        watched.close()
+        watched.listening.socket.close()
