Trust the list by whole news alone, end that after a move, and hold told starts against what was seen

Cause 1: Follower.heard renewed the trust for any byte. Change: whole events and comments renew it, on a connection whose backlog has come; a quiet moment in the middle of an event ends no backlog; an event that does not come whole within four times the trust is asked for again. Cause 2: a move left the trust of the old connection. Change: from the first move that is not answered the list is sent by for 3.5 s (move_trust_ms); a second move starts no new span. Change: memory/start_times.py takes a told start over once, by the wall clock of that moment, and bounds it by what was seen: not before the list was last known without it, less the 7 s in which news are told. Where the two differ an instance of more than four takes no turn at that engine.

--- a/ashcross/gateway/interface.py
+++ b/ashcross/gateway/interface.py
@@ -169,7 +169,14 @@
     cell: int
     mode: Mode
     nominal: float
-    boot_us: int
+    boot_us: int  # as told: with the name it tells a process from others, alike for all instances
+    started_us: int | None = None  # the same by the clock of the events, where the host knows that better
+    start_is_certain: bool = True  # False: what is told and what was seen of it differ
+
+    @property
+    def start_us(self) -> int:
+        """When the process started, by the clock of the events; 0 where it runs since long."""
+        return self.boot_us if self.started_us is None else self.started_us
 
 
 @dataclass(frozen=True, slots=True)
--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -332,11 +332,13 @@
 
     def _part(self, engine: Engine, now: int) -> float:
         """Rule 4: the work that this gateway may send a cold engine in a span that ends now."""
-        s, (_, boot_us), span_us = self.s, engine.process(), self.span_us
-        if boot_us < self.since_us and now < self.since_us + span_us:
+        s, start_us, span_us = self.s, engine.entry.start_us, self.span_us
+        if start_us < self.since_us and now < self.since_us + span_us:
             return 0.0  # what an earlier life of ours has sent there is not known: taken as all of it
         if s.instances > TURNS:  # a part each would hold no query: by turns, of which a span meets TURNS
-            turn = (now - boot_us) * (TURNS - 1) // span_us + crc32(repr(engine.process()).encode())
+            if not engine.entry.start_is_certain:
+                return 0.0  # turns that are counted from another moment than the others' are nobody's
+            turn = (now - start_us) * (TURNS - 1) // span_us + crc32(repr(engine.process()).encode())
             if turn % s.instances != s.me:
                 return 0.0
         budget = COLD * UTIL_HIGH * s.fall_multiple * s.cold_from * engine.cores * s.fall_us
--- a/ashcross/gateway/state.py
+++ b/ashcross/gateway/state.py
@@ -113,9 +113,9 @@
 
     def warmth(self, now: int, ramp_us: int) -> float:
         """The part of a ramp that has passed since it started; 1 where it runs since long."""
-        if self.entry.boot_us <= 0 or now - self.entry.boot_us >= ramp_us:
+        if self.entry.boot_us <= 0 or now - self.entry.start_us >= ramp_us:
             return 1.0
-        return max(0.0, (now - self.entry.boot_us) / ramp_us)
+        return max(0.0, (now - self.entry.start_us) / ramp_us)
 
     def process(self) -> tuple[str, int]:
         """What tells this process from an earlier one of the same name."""
--- a/ashcross/lifecycle/clock.py
+++ b/ashcross/lifecycle/clock.py
@@ -6,6 +6,11 @@
 from collections.abc import Callable
 
 
+def unix_us() -> int:
+    """The system's wall clock, which may be stepped: microseconds of Unix time."""
+    return time.time_ns() // 1000
+
+
 class Clock:
     """Never goes back, whatever is done to the system's time after the start.
 
--- a/ashcross/lifecycle/config.py
+++ b/ashcross/lifecycle/config.py
@@ -64,6 +64,7 @@
     replay_ms: int = 1_000  # how long a list asked for afresh may take to catch up
     settle_ms: int = 50  # quiet after the bulletin's answer began until its backlog counts as read
     trust_ms: int = 6_500  # without word of the bulletin until its list is stale; PROTOCOL: told by 7 s
+    move_trust_ms: int = 3_500  # the same after a move that is not answered; PROTOCOL: told 4 s after SIGHUP
     start_patience_ms: int = 10_000  # how long a start goes on trying to listen
     start_wait_ms: int = 3_000  # longest wait for the bulletin until a start is ready without its list
     stop_most_ms: int = 3_000  # the longest deadline that counts at a stop (PROTOCOL)
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -16,7 +16,7 @@
 from ashcross.gateway.interface import Closing, Effect, ListKind, Settings
 from ashcross.gateway.policy import Gateway
 from ashcross.lifecycle.checks import ConfigError
-from ashcross.lifecycle.clock import Clock
+from ashcross.lifecycle.clock import Clock, unix_us
 from ashcross.lifecycle.config import Config, set_descriptor_limit
 from ashcross.lifecycle.door import BACKLOG, Door, listen_patiently
 from ashcross.lifecycle.phases import Phase, Phases
@@ -27,6 +27,7 @@
 from ashcross.memory.book import Book
 from ashcross.memory.buffers import BufferPool
 from ashcross.memory.fleet import Fleet
+from ashcross.memory.start_times import StartTimes
 from ashcross.wire.bulletin import BulletinLimits, Follower
 from ashcross.wire.clients import ClientLimits, Clients
 from ashcross.wire.engines import EngineLimits, Engines
@@ -73,7 +74,8 @@
         self.phases, self.clock = Phases(), clock or Clock()
         self.pool = BufferPool(t.buffer_bytes, bounds.spare_buffers)
         self.book = Book(bounds.requests, bounds.statements_bytes)
-        self.fleet = Fleet()
+        wall_clock = unix_us if clock is None else self.clock
+        self.fleet = Fleet(StartTimes(self.clock, wall_clock).of)
         limits = HostLimits(
             max_attempts=config.settings.max_attempts,
             answer_slack_us=host.answer_slack_us,
@@ -139,6 +141,7 @@
                 replay_s=t.replay_ms / 1000,
                 settle_s=t.settle_ms / 1000,
                 trust_s=t.trust_ms / 1000,
+                move_trust_s=t.move_trust_ms / 1000,
             )
             self.follower = Follower(
                 reactor, config.bulletin, config.known_no, self.loop.roster, self.pool, bulletin, self._trust
@@ -221,7 +224,7 @@
 
     def _sweep(self) -> None:
         try:
-            self.loop.fresh = False
+            self.loop.swept()
             self.engines.sweep()
             self.clients.sweep()
             if self.follower is not None:
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -143,6 +143,10 @@
         self._turn_end_us = now
         self._beat_us = now + next_us
 
+    def swept(self) -> None:
+        """The first sweep is made: who waited since the start has been read."""
+        self.fresh = False
+
     def gather(self, event: api.Event) -> None:
         """Put an event into the next turn."""
         self._ready.append(event)
--- a/ashcross/memory/fleet.py
+++ b/ashcross/memory/fleet.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ashcross.gateway import interface as api
 
+StartOf = Callable[[api.EngineEntry, int | None], api.EngineEntry]
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -27,6 +29,7 @@
     version: int
     whole: bool
     entries: tuple[Entry, ...]
+    unseen_us: int | None = None  # how long ago the list was known whole without this event's news
     bars: bool = False  # tells only who takes nothing new, ahead of its turn; those that are known, that is
 
 
@@ -50,7 +53,8 @@
 class Fleet:
     """Engines by name. Records that are left keep their connections until what is out there has ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, start_of: StartOf = lambda entry, unseen_us: entry) -> None:
+        self._start_of = start_of
         self.engines: dict[str, EngineRecord] = {}
         self.left: list[EngineRecord] = []
         self._entries: dict[str, api.EngineEntry] = {}
@@ -70,8 +74,7 @@
                 if roster.bars or entry.unknown:
                     self._bar(entry.told.engine, changed)
                     continue
-                changed[entry.told.engine] = entry.told
-                self._apply(entry)
+                changed[entry.told.engine] = self._apply(entry, roster.unseen_us)
         if kind is api.ListKind.CACHED or whole:
             full = kind if kind is api.ListKind.CACHED else api.ListKind.FULL
             return api.EngineList(full, self.version, tuple(self._entries.values()))
@@ -81,11 +84,12 @@
         """The whole list as it stands."""
         return api.EngineList(api.ListKind.FULL, self.version, tuple(self._entries.values()))
 
-    def _apply(self, entry: Entry) -> None:
+    def _apply(self, entry: Entry, unseen_us: int | None) -> api.EngineEntry:
         told = entry.told
         if told.mode is api.Mode.GONE:
             self._leave(told.engine)
-            return
+            return told
+        told = self._start_of(told, unseen_us)
         record = self.engines.get(told.engine)
         same = record and (record.host, record.port, record.boot_us) == (entry.host, entry.port, told.boot_us)
         if record is None or not same:
@@ -95,6 +99,7 @@
             self.engines[told.engine] = record
         record.mode = told.mode
         self._entries[told.engine] = told
+        return told
 
     def _bar(self, name: str, changed: dict[str, api.EngineEntry]) -> None:
         """An engine takes nothing new, if it is known; what else became of it is told in its turn."""
--- a/ashcross/wire/bulletin.py
+++ b/ashcross/wire/bulletin.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from loguru import logger
@@ -20,6 +20,7 @@
 from ashcross.wire.roster import RosterError, parse_event
 
 PATH = "/bulletins"
+STALLED = 4  # times the trust in the list: how long an event may take to come whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +34,8 @@
     retry_most_s: float
     replay_s: float
     settle_s: float = 0.05  # without a byte after the response's head: nothing more is on its way
-    trust_s: float = 6.5  # without a byte: what is known may be too old to be sent on
+    trust_s: float = 6.5  # without word that the list is current: it may be too old to be sent on
+    move_trust_s: float = 3.5  # the same from the first move to an address that does not answer
 
 
 class BulletinLink(Protocol):
@@ -53,8 +55,10 @@
         """Take in events."""
         if not self._follower.heard(self):
             return  # another connection has taken its place
+        comments, events = self._reader.comments, 0
         try:
             for event in self._reader.feed(data):
+                events += 1
                 if not self._follower.event(event):
                     self.close()
                     return
@@ -63,7 +67,13 @@
             self.close()
             return
         if self._reader.open:
-            self._follower.read(self._reader.commented)
+            commented = self._reader.comments > comments
+            self._follower.read(commented, commented or bool(events))
+
+    @property
+    def in_event(self) -> bool:
+        """Has an event begun that has not come whole?"""
+        return self._reader.in_event
 
     def close(self) -> None:
         """End this response; a dial that is under way is ended by the follower."""
@@ -80,7 +90,8 @@
     """Keeps a connection to the bulletin and passes each event on once, in order.
 
     It also says whether what is known may be trusted: from when the backlog of a call has come (the first
-    comment after it, or `settle_s` without a byte) until nothing was heard for `trust_s`.
+    comment after it, or `settle_s` without a byte) until the list was not known to be current for `trust_s`.
+    Whole events and comments show that it is, on a connection whose backlog has come; mere bytes do not.
     """
 
     def __init__(
@@ -100,7 +111,9 @@
         self._dialled: Any = None
         self._up, self._stopped, self._afresh = False, False, False
         self._began_s = self._heard_s = 0.0
-        self._spoke_s = reactor.seconds()  # when the bulletin last said anything, on any connection
+        self._current_s = self._whole_s = reactor.seconds()  # when the list was last known to be current
+        self._ever_current = self._settled_here = False
+        self._moved_s: float | None = None  # since when a move waits for the new address's word
         self.trusted = False
         self._settling: Any = None
         self._retry_s = limits.retry_first_s
@@ -128,6 +141,8 @@
         if address == self._address or self._stopped:
             return
         self._address, self._retry_s = address, self._limits.retry_first_s
+        if self._moved_s is None:
+            self._moved_s = self._reactor.seconds()
         self._drop()
         self.start()
 
@@ -139,6 +154,7 @@
     def _drop(self) -> None:
         """Leave the connection, the dial or the wait that there is; nothing that it still says counts."""
         link, self._link, self._up = self._link, None, False
+        self._settled_here = False
         self._held.clear()
         self._unsettle()
         if self._later is not None:
@@ -151,7 +167,8 @@
 
     def request(self) -> bytes:
         """The call, once a connection is up."""
-        self._up, self._heard_s = True, self._reactor.seconds()
+        self._up, self._settled_here = True, False
+        self._heard_s = self._whole_s = self._reactor.seconds()
         host, port = self._address
         after = 0 if self._afresh else self.last
         # a replay from the start must not tell old states as news: it is held until it has caught up
@@ -162,22 +179,30 @@
         """Bytes came, if only a comment; False if they came on a connection that was left."""
         if link is not self._link:
             return False
-        self._heard_s = self._spoke_s = self._reactor.seconds()
+        self._heard_s = self._reactor.seconds()
         self._retry_s = self._limits.retry_first_s
         return True
 
-    def read(self, commented: bool) -> None:
-        """What came is taken in, and the response's head is among it."""
-        if self.trusted:
-            return
-        self._unsettle()
-        if commented:
+    def read(self, commented: bool, whole: bool) -> None:
+        """What came is taken in, and the response's head is among it; was anything of it whole?"""
+        if whole:
+            self._whole_s = self._reactor.seconds()
+        if commented or whole and self._settled_here:
+            self._settled()
+        elif not self._settled_here:  # the backlog may come in more pieces than one
+            self._unsettle()
+            self._settling = self._reactor.callLater(self._limits.settle_s, self._quiet)
+
+    def _quiet(self) -> None:
+        """Nothing came for a while: all of the backlog has, unless an event of it is half there."""
+        self._settling = None
+        if self._link is not None and not self._link.in_event:
             self._settled()
-        else:  # the backlog may come in more pieces than one
-            self._settling = self._reactor.callLater(self._limits.settle_s, self._settled)
 
     def believe(self) -> None:
         """Go by what is known, for as long as a silence is borne."""
+        self._current_s, self._moved_s = self._reactor.seconds(), None
+        self._ever_current = self._settled_here = True
         if not self.trusted:
             self.trusted = True
             self._trust(True)
@@ -189,7 +214,7 @@
 
     def _settled(self) -> None:
         """All that the bulletin had to tell at the call is known."""
-        self._settling = None
+        self._unsettle()
         if not self._held:
             self.believe()
 
@@ -197,7 +222,7 @@
         """Not connected, or no more: try again after a wait that doubles."""
         if link is not self._link:
             return  # it was left for another
-        self._up, self._link = False, None
+        self._up, self._link, self._settled_here = False, None, False
         self._held.clear()
         self._unsettle()
         if self._stopped or self._later is not None:
@@ -208,18 +233,30 @@
     def check(self) -> None:
         """Called each second or so: a connection that has fallen silent is given up."""
         now_s = self._reactor.seconds()
-        if self.trusted and now_s - self._spoke_s > self._limits.trust_s:
-            logger.warning("nothing heard of the bulletin for {:.1f} s; its list is trusted no more",
-                           now_s - self._spoke_s)  # fmt: skip
+        if self.trusted and self._is_old(now_s):
+            logger.warning(
+                "the list was last known to be current {:.1f} s ago; it is trusted no more",
+                now_s - self._current_s,
+            )
             self.trusted = False
             self._trust(False)
         if self._up and self._link is not None and now_s - self._heard_s > self._limits.silence_s:
             logger.info("the bulletin has fallen silent; asked again")
             self._link.close()
+        elif self._up and self._link is not None and now_s - self._whole_s > STALLED * self._limits.trust_s:
+            logger.warning("an event of the bulletin does not come to its end; asked again")
+            self._link.close()
         elif self._held and now_s - self._began_s > self._limits.replay_s:
             self._release()  # it never got to where we were: its count has restarted
             self._settled()
 
+    def _is_old(self, now_s: float) -> bool:
+        """May the list hide what counts as told by now?"""
+        if self._moved_s is not None and now_s - self._moved_s > self._limits.move_trust_s:
+            return True
+        age_s: float = now_s - self._current_s
+        return age_s > self._limits.trust_s
+
     def event(self, event: sse.ServerEvent) -> bool:
         """Take in one event; False if the list must be asked for afresh."""
         try:
@@ -237,6 +274,9 @@
                 self._tell_barred(roster)
                 return False
         self.last = roster.number
+        if self._ever_current:
+            unseen_us = int((self._reactor.seconds() - self._current_s) * 1e6)
+            roster = replace(roster, unseen_us=unseen_us)
         self._held.append(roster)
         if roster.number >= self._replay_to:
             self._release()
--- a/ashcross/wire/sse.py
+++ b/ashcross/wire/sse.py
@@ -113,7 +113,7 @@
         self._ident, self._size = "", 0
         self._data: list[str] = []
         self.open = False  # has the response's head come whole?
-        self.commented = False  # has a comment come? All that was to be told at the call has come before it
+        self.comments = 0  # that have come: all that was to be told at the call has come before the first
 
     def feed(self, data: bytes) -> Iterator[ServerEvent]:
         """Take bytes in and yield the events that are whole; comments and other fields are skipped."""
@@ -136,7 +136,7 @@
             data, self._data, self._size = "\n".join(self._data), [], 0
             return ServerEvent(self._ident, data) if data else None
         name, _, value = line.partition(":")
-        self.commented = self.commented or not name
+        self.comments += not name
         value = value.removeprefix(" ")
         if name == "data":
             self._size += len(value) + 1
@@ -147,6 +147,11 @@
             self._ident = value
         return None
 
+    @property
+    def in_event(self) -> bool:
+        """Has an event or a line begun that is not whole yet?"""
+        return bool(self._data) or any(part.waiting for part in (self._chunks, self._lines))
+
     def close(self) -> None:
         """Give the buffers back."""
         for part in (self._head, self._chunks, self._lines):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1344,7 +1344,8 @@
     world.loop.fresh, world.loop.opened_us = True, world.now_us - 900_000
     link, _ = world.connect()
     link.dataReceived(question(1, "a" * 16))
-    world.loop.heartbeat(250_000)
+    world.loop.heartbeat(100_000)
+    world.loop.swept()
     later, _ = world.connect()
     later.dataReceived(question(1, "b" * 16))
     deadlines = [next(iter(one.open.values())).deadline_us - world.now_us for one in (link, later)]
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -16,10 +16,12 @@
 
 import pytest
 
+from ashcross.gateway import interface as api
 from ashcross.lab.faults.shim import Shim
 from ashcross.lab.processes import wait_for
+from ashcross.memory.start_times import StartTimes
 from ashcross.wire import jsonrpc
-from tests.parties import EXAMPLE, LONG_S, ClientSide, Scene
+from tests.parties import EXAMPLE, LONG_S, ClientSide, EngineSide, Scene
 
 STEPS_S = (-3600.0, -5.0, -0.2, 5.0, 3600.0)
 GRACE_S = 0.5  # of a final answer after its time
@@ -267,3 +269,94 @@
     client = scene.client()
     client.send(jsonrpc.call("ping", 1, {}))
     assert client.answer() is not None
+
+
+COLD_WORK_S = 2.0  # of each query: the settings allow a cold engine 19 s of work in 2 s
+
+
+@pytest.mark.parametrize("offset_s", [0.0, 3600.0])
+def test_an_engine_that_joins_is_taken_for_cold_whatever_the_wall_clock_says(
+    bed: Bed, offset_s: float
+) -> None:
+    """An hour ahead, it seemed to have been warm for long, and got all that was asked at once."""
+    bed.shim.step_wall_clock(offset_s)
+    scene = bed.scene(engines=2)
+    call = scene.come_up()
+    scene.watched.tell(call, scene.event(2, "e1", status="Terminating"))
+    joined = scene.event(3, "e2", since_ms=int(time.time() * 1000))
+    scene.watched.tell(call, joined)
+    pulled_s = pulls_in(scene, 4.5)
+    fullest = max((sum(0 <= other - one < 2.0 for other in pulled_s) for one in pulled_s), default=0)
+    assert 1 <= fullest <= 9
+
+
+def pulls_in(scene: Scene, for_s: float) -> list[float]:
+    """When requests came to e2, while three are asked each 0.1 s and every one is served at once."""
+    client, came_s, ident = scene.client(), list[float](), 0
+    listening = scene.engines["e2"].socket
+    listening.settimeout(0.1)
+    links: list[EngineSide] = []
+    until_s = time.monotonic() + for_s
+    while time.monotonic() < until_s:
+        for _ in range(3):
+            ident += 1
+            client.send(scene.question(ident, scene.txn(), limit_ms=6_000.0, cpu=COLD_WORK_S * 1000))
+        try:
+            links.append(scene.link("e2"))
+            links[-1].socket.settimeout(0.05)
+        except TimeoutError:
+            pass
+        for link in links:
+            came_s += served_at_once(link)
+    return came_s
+
+
+def served_at_once(link: EngineSide) -> list[float]:
+    """Serve all that lies on a connection; when each came."""
+    came_s = []
+    try:
+        while words := link.command():
+            if words[0] == b"PULL":
+                came_s.append(time.monotonic())
+                link.serve(words[1].decode())
+    except TimeoutError:
+        pass
+    return came_s
+
+
+def entry(boot_us: int) -> api.EngineEntry:
+    return api.EngineEntry("e", "z", "k", 0, api.Mode.READY, 1.0, boot_us)
+
+
+NOW_US = 10**15
+HOUR_US = 3_600_000_000
+
+
+@pytest.mark.parametrize(
+    ("wall_off_us", "age_us", "unseen_us", "wanted_age_us", "certain"),
+    [
+        (0, 2_000_000, 1_000_000, 2_000_000, True),
+        (0, 2_000_000, None, 2_000_000, True),
+        (0, HOUR_US, None, HOUR_US, True),  # known at our start: it may be of any age
+        (HOUR_US, 2_000_000, 1_000_000, 8_000_000, False),  # our clock is ahead
+        (-HOUR_US, 2_000_000, 1_000_000, 0, False),  # and behind
+        (-HOUR_US, 2_000_000, None, 0, False),
+        (0, -5_000_000, 1_000_000, -5_000_000, True),  # told ahead
+        (0, 9_000_000, 1_000_000, 8_000_000, True),
+    ],
+)
+def test_a_start_is_held_against_what_was_seen_of_it(
+    wall_off_us: int, age_us: int, unseen_us: int | None, wanted_age_us: int, certain: bool
+) -> None:
+    times = StartTimes(lambda: NOW_US, lambda: NOW_US + wall_off_us)
+    made = times.of(entry(NOW_US - age_us), unseen_us)
+    assert (NOW_US - made.start_us, made.start_is_certain) == (wanted_age_us, certain)
+
+
+def test_a_start_that_is_known_is_not_reckoned_anew_after_a_step_and_a_flap() -> None:
+    wall_off_us = [0]
+    times = StartTimes(lambda: NOW_US, lambda: NOW_US + wall_off_us[0])
+    first = times.of(entry(NOW_US - 5_000_000), None)
+    wall_off_us[0] = -HOUR_US
+    assert times.of(entry(NOW_US - 5_000_000), 0) == first
+    assert times.of(entry(0), 0).started_us is None
--- a/tests/test_watch_age.py
+++ b/tests/test_watch_age.py
@@ -70,7 +70,7 @@
 
 def test_after_a_move_the_list_is_not_sent_by_for_longer_than_the_move_allows(make: Make) -> None:
     """What the new address has to tell counts as told 4 s after SIGHUP, though it does not answer."""
-    scene, moved = make(), Watched()
+    scene, moved = make(bulletin_silence_ms=60_000), Watched()
     scene.come_up()
     link = scene.warm()
     scene.path.write_text(json.dumps(scene.config | {"bulletin": moved.address}), encoding="utf-8")
