--- a/ashcross/lab/commands.py
+++ b/ashcross/lab/commands.py
@@ -16,6 +16,7 @@
 
 from ashcross.errors import AshcrossError, shown
 from ashcross.lab import coverage, mutants, runner, shrink, world
+from ashcross.lab.processes import ROOT
 from ashcross.lab.script import Script, ScriptError, draw, encode, load
 from ashcross.lab.world import Result
 
@@ -26,10 +27,14 @@
   python -m ashcross lab replay tests/scripts/late-after-a-pause.json
   python -m ashcross lab mutants --seeds 0:300
   python -m ashcross lab coverage --seeds 0:1000
+  python -m ashcross lab soak --seeds 0:20 --jobs 3 --keep found/soak
   python -m ashcross lab report 4711 -o out.svg
 """
 
 
+SHOWN = 20  # findings of a seed of the soak
+
+
 class Bad(AshcrossError):
     """Input that cannot be used: exit code 2."""
 
@@ -82,6 +87,15 @@
     mutant.add_argument("--scripts", type=Path, metavar="FOLDER", help="kept scripts, run after the seeds")
     mutant.add_argument("--world", choices=sorted(runner.WORLDS), default="dispatchers", help="whose mutants")
     mutant.add_argument("--only", default="", help="one mutant alone")
+    soak = command("soak", "play real processes on loopback against faults that overlap")
+    seeds(soak, "0:4")
+    soak.set_defaults(jobs=2)
+    soak.add_argument("--seconds", type=float, default=20.0, help="of faults (default %(default)g)")
+    soak.add_argument("--dispatchers", type=int, default=10, help="processes a seed (default %(default)s)")
+    soak.add_argument("--program", type=Path, default=ROOT, metavar="DIR", help="whose serve is played")
+    soak.add_argument(
+        "--keep", type=Path, metavar="DIR", help="where logs and configurations stay (default: nowhere)"
+    )
     cover = command("coverage", "how often each kind of fault met each stage of a request's life")
     seeds(cover, "0:1000")
     return top
@@ -148,6 +162,24 @@
     return 1 if summary.bad else 0
 
 
+def _soak(asked: argparse.Namespace) -> int:
+    from ashcross.lab.soak import rig  # its parties need asyncio, which nothing else here does
+
+    if not 1 <= asked.dispatchers <= 40:
+        raise Bad("--dispatchers", "1 to 40", str(asked.dispatchers))
+    plans = [
+        rig.Plan(seed, dispatchers=asked.dispatchers, seconds=asked.seconds, program=asked.program.resolve())
+        for seed in _seed_range(asked.seeds)
+    ]
+    bad = 0
+    for outcome in rig.play_many(plans, _jobs(asked), asked.keep):
+        bad += bool(outcome.findings)
+        print(json.dumps(outcome.as_json()) if asked.json else outcome.line(), flush=True)
+        for finding in outcome.findings[:SHOWN] if not asked.json else ():
+            print(f"    {finding.rule}: {finding.text}", flush=True)
+    return 1 if bad else 0
+
+
 def _as_json(summary: runner.Summary) -> dict[str, Any]:
     return {
         "seeds": summary.seeds, "broken": summary.bad, "requests": summary.requests, "faults": summary.faults,
--- /dev/null
+++ b/ashcross/lab/soak/dispatchers.py
@@ -0,0 +1,124 @@
+"""Real `serve` processes of the soak, each with a shim of its own for clock, sockets and files."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import secrets
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ashcross.lab.faults.shim import Shim
+from ashcross.lab.soak.ledger import Ledger, Life
+from ashcross.wire import asking, jsonrpc
+
+FAULT_LINES = re.compile(r"violation:|Traceback|fault on|ERROR")
+EXPECTED_ERRORS = re.compile(r"the new configuration is not taken|ConfigUnreadable")
+ARRIVALS_S = 0.3  # after SIGTERM, while the front still sends
+
+
+class Dispatcher:
+    """One dispatcher: its processes one after the other, at one address."""
+
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        port: int,
+        shim: Shim,
+        ledger: Ledger,
+        config: Callable[[], dict[str, Any]],
+        program: Path,
+    ) -> None:
+        self.number, self.folder, self.shim, self.ledger = number, folder, shim, ledger
+        self.address = ("127.0.0.1", port)
+        self.path, self.log = folder / f"d{number}.json", folder / f"d{number}.log"
+        self._config, self.program = config, program
+        self.process: subprocess.Popen[bytes] | None = None
+        self.life: Life | None = None
+        self.stopped_since_s: float | None = None
+        self.busy = False  # a fault is at work on the process itself
+
+    def write_config(self) -> None:
+        """The file as it is now."""
+        content = self._config() | {
+            "name": f"d{self.number}",
+            "listen": f"127.0.0.1:{self.address[1]}",
+            "seed": secrets.token_hex(8),
+        }
+        self.path.write_text(json.dumps(content), encoding="utf-8")
+
+    def start(self) -> None:
+        """A new process."""
+        self.write_config()
+        self.life = Life(self.number, time.monotonic())
+        self.ledger.lives.append(self.life)
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", "-m", "ashcross", "serve", "--config", str(self.path)],
+                cwd=self.program,
+                stdout=log,
+                stderr=log,
+                env=os.environ | self.shim.environment,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """SIGTERM, SIGKILL, SIGSTOP, SIGCONT or SIGHUP."""
+        now_s = time.monotonic()
+        assert self.process is not None and self.life is not None
+        if number is signal.SIGTERM:
+            self.life.term_s = now_s
+        elif number is signal.SIGKILL:
+            self.life.kill_s = now_s
+        elif number is signal.SIGSTOP:
+            self.stopped_since_s = now_s
+        elif number is signal.SIGCONT and self.stopped_since_s is not None:
+            self.life.stops.append((self.stopped_since_s, now_s))
+            self.stopped_since_s = None
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    def look(self) -> None:
+        """Note that the process has ended."""
+        assert self.process is not None and self.life is not None
+        if self.life.exit_s is None and self.process.poll() is not None:
+            self.life.exit_s, self.life.exit_code = time.monotonic(), self.process.returncode
+
+    def takes(self) -> bool:
+        """Does the front send it requests?"""
+        life = self.life
+        if life is None or life.ready_s is None or life.exit_s is not None or life.kill_s is not None:
+            return False
+        return life.term_s is None or time.monotonic() < life.term_s + ARRIVALS_S
+
+    def ping(self) -> None:
+        """Ask whether it is well, until it once was; a thread's work."""
+        if self.life is None or self.life.ready_s is not None or self.life.exit_s is not None:
+            return
+        life = self.life
+        with contextlib.suppress(asking.NoAnswer):
+            answer = asking.ask(self.address, jsonrpc.call("ping", 1, {}), 0.5)
+            if (answer.result or {}).get("well") is True:
+                life.ready_s = time.monotonic()
+
+    def note_log(self) -> None:
+        """Lines of the log that tell of a fault of the program."""
+        if not self.log.exists():
+            return
+        for line in self.log.read_text(encoding="utf-8", errors="replace").splitlines():
+            if FAULT_LINES.search(line) and not EXPECTED_ERRORS.search(line):
+                self.ledger.log_faults.append(f"d{self.number}: {line[:300]}")
+
+    def end(self) -> None:
+        """End the process that this rig has started, at once."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait(10)
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -201,6 +201,7 @@
                 self._gone()
                 return True
             if self._reads == reads:
+                self._unread_since_us = None
                 return True
         return False
 
@@ -290,6 +291,17 @@
     def _read_again(self) -> None:
         if not (self._held_off or self._stopped or self._ended) and self.transport.connected:
             self.transport.resumeProducing()
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Behind a pause: see whether the kernel holds anything still."""
+        if self._held_off or self._stopped or self._ended or not self.transport.connected:
+            return
+        reads = self._reads
+        if self.transport.doRead() is not None:
+            self._gone()
+        elif self._reads == reads:
+            self._unread_since_us = None
 
     # -------------------------------------------------------------- calls
 
@@ -315,8 +327,12 @@
         self._end_if_done("calls that cannot be used")
         if not self._ended:
             self._clients.check_waiting()
-        if self._over_bound and not self._ended:
+        if self._ended:
+            return
+        if self._over_bound:
             self._hold_off()
+        elif self._unread_since_us is not None and not self._reading_out:
+            self._clients.later(0, self._read_on)
 
     def _feed(self, data: bytes, arrived_us: int) -> None:
         for body in self.reader.feed(data):
@@ -326,14 +342,15 @@
                 return
 
     def _arrived_us(self) -> int:
-        """When the bytes that are read now came at the earliest."""
+        """When the bytes that are read now came at the earliest.
+
+        Behind a pause they may have come at any time since it began, until the kernel is known to be empty.
+        """
         arrived_us = self._loop.arrived_us()
         if self._loop.fresh:  # it may have come at any time since clients could write here
             arrived_us = min(arrived_us, self._loop.opened_us)
         if self._unread_since_us is not None:
             arrived_us = min(arrived_us, self._unread_since_us)
-            if not (self._held_off or self._stopped):
-                self._unread_since_us = None
         return arrived_us
 
     def _count_after_the_end(self, size: int) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,31 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from ashcross.lab.faults import shim
 
+LOG_LINES = 60  # of each process's log, shown with a test that failed
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Show the logs of a failed test's processes: its folder is gone when somebody looks."""
+    report = yield
+    arguments: dict[str, Any] = getattr(item, "funcargs", {})
+    folder = arguments.get("tmp_path")
+    if report.failed and isinstance(folder, Path):
+        for path in sorted((*folder.rglob("*.log"), *folder.rglob("log.txt"))):
+            lines = path.read_text(encoding="utf-8", errors="replace").splitlines()[-LOG_LINES:]
+            report.sections.append((f"log {path.relative_to(folder)}", "\n".join(lines)))
+    return report
+
 
 @pytest.fixture(scope="session")
 def shim_library(tmp_path_factory: pytest.TempPathFactory) -> Path:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections.abc import Iterator
 from functools import partial
@@ -9,6 +10,7 @@
 
 import pytest
 
+from ashcross.lab import processes
 from ashcross.lab.processes import Entry, Load, Processes, passed, wait_for
 
 QUOTA = "quota each { per team limit 600 in 60s burst 20 apart 30% }"
@@ -65,3 +67,19 @@
     assert passed(burst + kept, 10.0, 20.0) <= 0
     assert passed([*burst, (0, 1), *kept], 10.0, 20.0) > 0
     assert passed([*burst, (0, 2 * second)], 10.0, 20.0) <= 0  # it may have been admitted later
+
+
+def test_ports_are_free_for_tcp_and_udp_and_no_outgoing_connection_takes_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Ports were tried for UDP alone: an engine could listen at one, and d0 could not start there."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = int(taken.getsockname()[1])
+        assert not processes._is_free(port)
+    first = processes.free_ports(3)
+    assert len(set(first)) == 3 and max(first) < 32_768
+    monkeypatch.setattr(processes, "_is_free", lambda port: False)
+    with pytest.raises(AssertionError, match="found 0"):
+        processes.free_ports(1)
