Tests of queries that lie here, of ids that are used again, and of the last look, known red

Need: read from the paths of send and of the end. A PULL that lies in our buffer goes out with the time of when it was written, however long an engine reads nothing. Engines tell attempts apart by id alone, so a late answer to a request that is over would be taken for that of a new one under the same id, which some clients send. The last look before the end keeps the pauses between reads of a flood, and leaves calls unread.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -114,6 +114,25 @@
     ]
 
 
+def test_an_id_whose_attempts_may_still_be_answered_is_not_taken_again() -> None:
+    """Engines tell attempts apart by it alone: a late answer would be taken for the new request's."""
+    world = ClientWorld()
+    link, wire = world.connect()
+    world.sends("e1")
+    link.dataReceived(question(1))
+    world.run()
+    request = link.open[1]
+    request.attempts[0].began_us = world.now_us
+    world.loop.settle(request.attempts[0], Outcome.GOOD)
+    world.run()
+    assert [answer.code for answer in answers(wire)] == [0] and TXN not in world.book.requests
+    link.dataReceived(question(2))
+    link.dataReceived(question(3, "b" * 16))
+    world.run()
+    assert [(answer.ident, answer.code) for answer in answers(wire)] == [(2, jsonrpc.INVALID_PARAMS)]
+    assert sorted(link.open) == [3]
+
+
 def test_queries_in_pieces_and_many_in_one_read() -> None:
     world = ClientWorld()
     link, _ = world.connect()
@@ -275,6 +294,18 @@
     assert [request.deadline_us for request in link.open.values()] == [world.now_us + 1_000_000]
 
 
+def test_the_last_look_before_the_end_reads_a_flood_out_to_its_end() -> None:
+    world = ClientWorld(open_per_connection=1)
+    link, wire = world.connect()
+    link.dataReceived(question(1, "a" * 16) + question(2, "b" * 16))
+    assert wire.producerState == "paused"
+    wire.in_kernel += [question(ident, f"{ident:016x}") for ident in range(3, 20)]
+    link.read_out()
+    assert wire.in_kernel  # not all at once, while it runs
+    world.clients.catch_up()
+    assert not wire.in_kernel and len(answers(wire)) == 18
+
+
 def test_a_client_that_asks_on_and_reads_nothing_is_not_read_until_it_does() -> None:
     world = ClientWorld(open_per_connection=2, unsent_bytes=100_000)
     link, wire = world.connect()
@@ -724,6 +755,21 @@
     assert wire.aborted
 
 
+@pytest.mark.parametrize(("waits_us", "ended"), [(99_000, False), (101_000, True)])
+def test_a_query_that_lies_here_does_not_go_out_with_time_that_has_passed(waits_us: int, ended: bool) -> None:
+    """An engine that reads nothing and goes on after 0.3 s: the time that it is told had passed by then."""
+    world = EngineWorld()
+    world.sends("e1")
+    world.accept()
+    world.run()
+    (link,) = world.links()
+    wire = Wire()
+    wire.takes = False
+    link.makeConnection(wire)  # type: ignore[no-untyped-call]
+    world.run(waits_us)
+    assert wire.aborted is ended
+
+
 def test_word_that_has_gone_out_ends_nothing() -> None:
     world = EngineWorld()
     _, wire = world.started()
