End a connection whose query lies here, take no id again, read all out before the end

Change: a query that the kernel has not taken within 100 ms ends its connection (Loop.call_at has it looked at also outside of a turn); ids of the last 1,024 requests that were sent on are refused as an error; the last look before the end reads a held-off connection to its end.

--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -295,8 +295,7 @@
         told = (attempt, outcome, now - attempt.sent_us, own)
         if outcome in UNHEARD and not request.over and now < request.deadline_us:
             # the word that gives it up is still under way, and no other attempt may overtake it
-            self.book.deadlines.add(now + self.limits.kill_wait_us, self._tell, told)
-            self._set_alarm()  # a reset comes outside of a turn
+            self.call_at(now + self.limits.kill_wait_us, self._tell, told)
         else:
             self._tell(told)
 
@@ -326,6 +325,11 @@
             )
         )
 
+    def call_at(self, at_us: int, call: Callable[[Any], None], what: Any) -> None:
+        """Have `call(what)` made at a time, also where that is asked for outside of a turn."""
+        self.book.deadlines.add(at_us, call, what)
+        self._set_alarm()
+
     def note(self, attempt: AttemptRecord, kind: api.NoteKind, value: float) -> None:
         """Word on an attempt that is out."""
         self.gather(api.Note(attempt.request.txn, attempt.number, attempt.engine_name, kind, value))
--- a/ashcross/memory/book.py
+++ b/ashcross/memory/book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -12,6 +13,7 @@
 from ashcross.gateway.rules import NEVER_RAN
 from ashcross.logs import seldom
 
+RECENT_MOST = 1024  # ids of requests that were sent on and are over; those sent longest ago are forgotten
 COMPACT_FROM = 1024  # entries of the heap before dead ones are looked for
 
 
@@ -158,6 +160,11 @@
         self.deadlines = Deadlines()
         self.open, self.held_bytes = 0, 0
         self._ended: list[RequestRecord] = []
+        self.recent: OrderedDict[str, None] = OrderedDict()  # ids under which an engine may still answer
+
+    def was_sent(self, txn: str) -> bool:
+        """Was a request of this id sent on a while ago, so that a late answer may still name it?"""
+        return txn in self.recent
 
     def full(self, more_bytes: int) -> bool:
         """Is a further request to be turned away?"""
@@ -184,7 +191,15 @@
                 left.append(request)
                 continue
             del self.requests[request.txn]
+            if any(attempt.began_us is not None for attempt in request.attempts):
+                self._remember(request.txn)
             self.held_bytes -= len(request.statement)
             request.statement = b""  # its entries of the heap may stay until they are due
             request.attempts.clear()
         self._ended = left
+
+    def _remember(self, txn: str) -> None:
+        self.recent[txn] = None
+        self.recent.move_to_end(txn)
+        if len(self.recent) > RECENT_MOST:
+            self.recent.popitem(last=False)
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -171,32 +171,32 @@
             self._loop.turn_out(request)
         self.finish(reason)
 
-    def read_out(self) -> bool:
+    def read_out(self, all_of_it: bool = False) -> bool:
         """Take in what lies in the kernel now, and the client's close behind it; False if that is too much.
 
         A connection is not ended over a call that came, and nothing is begun for a client that has gone.
+        `all_of_it` is for the last look before the end of the process, which has no other.
         """
         if self._reading_out or self._feeding:
             return True
         now = self._loop.clock()
-        if self._stopped or now - self._flooded_us < HOLD_OFF_S * 1e6:
+        if self._stopped or not all_of_it and now - self._flooded_us < HOLD_OFF_S * 1e6:
             return False
+        most = READS_OVER_BOUND if self._held_off and not all_of_it else READS_MOST
         self._reading_out = True
         try:
-            empty = self._read_until_empty()
+            empty = self._read_until_empty(most)
         finally:
             self._reading_out = False
         if not empty:
             self._flooded_us = now
         return empty
 
-    def _read_until_empty(self) -> bool:
-        for done in range(READS_MOST):
+    def _read_until_empty(self, most: int) -> bool:
+        for _ in range(most):
             reads = self._reads
             if not self.transport.connected:
                 return True
-            if self._held_off and done >= READS_OVER_BOUND:
-                return False
             if self.transport.doRead() is not None:  # its end; the reactor finds that again and closes
                 self._gone()
                 return True
@@ -421,6 +421,10 @@
             raise jsonrpc.CallError(
                 jsonrpc.INVALID_PARAMS, ident, "params.txn", "one that is not open", "one that is"
             )
+        if book.was_sent(query.txn):
+            raise jsonrpc.CallError(
+                jsonrpc.INVALID_PARAMS, ident, "params.txn", "a new one", "one that was used"
+            )
         reason = self._reason_to_refuse(len(query.statement))
         if reason:  # before the module: it never ran
             audit.note(Event.REFUSE, reason, query.txn)
@@ -585,7 +589,7 @@
                 if self._taken == before:
                     break
         for link in list(self.links):
-            link.read_out()
+            link.read_out(all_of_it=True)
 
     def check_unsent(self) -> None:
         """What clients do not read is bounded: beyond that the slowest loses its connection."""
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -18,6 +18,7 @@
 from ashcross.wire.dialling import dial
 from ashcross.wire.hosting import EngineHost
 
+UNSENT_PULL_US = 100_000  # how long a query may lie here once it is written: its time runs on
 NOTES = {"pct": NoteKind.PROGRESS, "overflow": NoteKind.SPILLS, "queued": NoteKind.WAITS}
 ENDS = {"overload": Outcome.FULL, "crashed": Outcome.ERROR, "nobody": Outcome.MOOT}
 
@@ -187,6 +188,8 @@
             pairs["band"] = str(request.priority)
         attempt.stage, attempt.at_byte = Stage.ASKED, self._written
         self._write(b"PULL", request.txn.encode(), resp.join_fields(pairs), request.statement)
+        # the time that it tells runs on while it lies here
+        self._loop.call_at(self.used_us + UNSENT_PULL_US, self._expect_sent, self._written)
 
     def give_up(self, attempt: AttemptRecord) -> None:
         """The attempt is settled on our side: tell the engine if it still works for it or holds pages."""
@@ -204,11 +207,11 @@
         self._write(b"DISCARD" if attempt.stage is Stage.PAGES else b"KILL", ident)
         # before another attempt may be sent, or the two would run at once
         wait_us = self._engines.limits.stuck_us
-        self._loop.book.deadlines.add(self.used_us + wait_us, self._expect_sent, self._written)
+        self._loop.call_at(self.used_us + wait_us, self._expect_sent, self._written)
 
     def _expect_sent(self, written: int) -> None:
         if not self.ended and self._flushed < written:
-            self._spoilt("takes nothing in, not even word that a query is given up")
+            self._spoilt("takes nothing in")
 
     def boost(self, attempt: AttemptRecord, priority: int) -> None:
         """A new priority for an attempt that is out."""
--- a/ashcross/wire/hosting.py
+++ b/ashcross/wire/hosting.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from ashcross.gateway import interface as api
 from ashcross.memory.book import AttemptRecord, Book, ProbeRecord, Replies, RequestRecord
@@ -89,5 +90,8 @@
     def probed(self, probe: ProbeRecord, outcome: api.Outcome, report: dict[str, float]) -> None:
         """The one outcome of a probe."""
 
+    def call_at(self, at_us: int, call: Callable[[Any], None], what: Any) -> None:
+        """Have `call(what)` made at a time."""
+
     def begins(self, attempt: AttemptRecord, engine: EngineRecord) -> bool:
         """May the first byte of an attempt go out, now that all waits for it are over? If so, it does."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -12,7 +12,7 @@
 from ashcross.lifecycle.clock import Clock
 from ashcross.lifecycle.phases import STEPS, Phase, PhaseError, Phases
 from ashcross.logs import Seldom
-from ashcross.memory.book import COMPACT_FROM, AttemptRecord, Book, Deadlines, RequestRecord
+from ashcross.memory.book import COMPACT_FROM, RECENT_MOST, AttemptRecord, Book, Deadlines, RequestRecord
 from ashcross.memory.fleet import Entry, Fleet, Roster
 
 
@@ -31,6 +31,22 @@
     return RequestRecord(txn, Nobody(), 1, "lookup", statement, None, 1_000_000, 0)
 
 
+def test_ids_that_were_sent_on_are_known_for_a_while_and_never_without_bound() -> None:
+    book = Book(10_000, 1 << 30)
+    for number in range(3 * RECENT_MOST):
+        one = request(f"{number:016x}")
+        book.add(one)
+        if number % 2:
+            attempt = AttemptRecord(one, 0, "e1", 0, 1, settled=True, began_us=0)
+            one.attempts.append(attempt)
+        book.end(one)
+        book.sweep()
+    last = 3 * RECENT_MOST - 1
+    assert book.was_sent(f"{last:016x}") and not book.was_sent(f"{last - 1:016x}")
+    assert book.was_sent(f"{last - RECENT_MOST:016x}")
+    assert not book.was_sent(f"{1:016x}") and len(book.recent) <= RECENT_MOST
+
+
 def test_deadlines_come_in_order_and_equal_ones_as_added() -> None:
     deadlines, seen = Deadlines(), list[str]()
     for at_us, what in ((30, "c"), (10, "a"), (20, "b1"), (20, "b2"), (40, "d")):
