Bound what a dispatcher needs before sixteen times the engines

Change, with more than 256 engines alone: looks at all of them are as much rarer, and news change the order in place (an engine that left is marked, and stays unused until the next look); engines that were sent to last are compared first. At the bound of connections the one that rested longest makes room, whatever the number of engines.

Fleets of up to 256 engines decide as before.

--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -28,6 +28,8 @@
 LOOK = 4  # engines compared for a choice, and for each gateway's share of them: more would herd to one report
 PROBES, SPENT = 0.3, 0.01  # most probes for each query taken, and the share of all worth that they may cost
 HEALTH_TICKS = 4  # ticks between looks at all engines
+USED = 64  # engines sent to last that are known as such, before many
+MANY = 256  # engines; with more, one is heard of seldom, and looks at all of them are as much rarer
 CLIP = 4.0  # most that one attempt, slow or failed, says about slowness: bad plans are not the engine's doing
 SUSPECT, TRUST = 1.8, 1.3  # slowness against the median engine for trials only, and for full use again
 PRIOR = 3.0  # weight of the belief that an engine is sound, in attempts
@@ -75,6 +77,7 @@
         self.level, self.low, self.high = 1.0, 1.0, 1.0  # in cores x share: now, least and most tried
         self.curve, self.line, self.busy, self.batch_us = Quadratic(), Line(), Moments(), LONG_AGO
         self.order: list[Engine] = []  # ready engines, shuffled
+        self.used: dict[tuple[str, int], Engine] = {}  # before many engines, those that we sent to last
         self.popular = Shares(SEEN)  # of groups of tables in the queries
         self.pool, self.pool_mb, self.memory_mb = 0.0, 0.0, 0.0  # our shares of all engines; our needs out
         self.credit_us, self.health_us = 0.0, LONG_AGO  # threads' time earned and not spent
@@ -121,18 +124,31 @@
                 held.ready = False
         if event.kind in (ListKind.FULL, ListKind.CACHED):
             named = {entry.engine for entry in event.entries}
-            self.engines = {name: engine for name, engine in self.engines.items() if name in named}
+            for name in [name for name in self.engines if name not in named]:
+                self.engines.pop(name).ready = False
         for entry in event.entries:
             kind, engine = self.kinds.get(entry.kind), self.engines.pop(entry.engine, None)
             if entry.mode is Mode.GONE:
+                if engine is not None:
+                    engine.ready = False  # it may stand in the order still
                 continue
             if engine is None or entry.boot_us != engine.entry.boot_us:  # a new process: all learned is void
+                if engine is not None:
+                    engine.ready = False
                 engine = Engine(entry, kind.cores if kind else 1, kind.memory_mb if kind else 0, PRIOR, PRIOR)
+            was_ready = engine.ready
             engine.entry, engine.ready = entry, entry.mode is Mode.READY
             self.engines[entry.engine] = engine
-        self._health(now)
+            if engine.ready and not was_ready and self._looks_seldom():
+                self.order.append(engine)  # until the next look at all of them
+        if not self._looks_seldom() or event.kind is not ListKind.DELTA:
+            self._health(now)
         self._pump(now)
 
+    def _looks_seldom(self) -> bool:
+        """Are there so many engines that a look at all of them for each piece of news costs too much?"""
+        return len(self.engines) > MANY
+
     @staticmethod
     def _hear(engine: Engine, report: dict[str, float]) -> None:
         """Take in a report: the scarcest of cores, memory and disks, or its queries a core, is the load."""
@@ -169,15 +185,32 @@
 
     def _choose(self, request: Request, now: int) -> Engine | None:
         """The engine with the least cost: our threads and its report, slowness, warm tables, rooms."""
-        best, best_cost, tables = None, inf, request.event.tables
         if not self._may_try(request, now) or not self.order:
             return None
+        if self._looks_seldom():
+            best = self._cheapest(request, now, self._used_lately(request), [], LOOK)
+            if best is not None:
+                return best
+        tables = request.event.tables
         homes = [e for e in self.order if not request.kind.kinds or e.entry.kind in request.kind.kinds]
         homes.sort(key=lambda engine: hash((engine.salt, tables)))  # alike at all gateways: stays warm
         homes = homes[: ceil(HOMES * len(homes) * self.popular.share(tables)) * (not request.kind.is_load)]
         start, left = self.random.randrange(len(self.order)), max(LOOK, LOOK * len(self.order) * self.share)
         first = self.random.sample(homes, min(LOOK // 2, len(homes)))
-        for engine in (*first, *self.order[start:], *self.order[:start]):
+        return self._cheapest(request, now, [*first, *self.order[start:], *self.order[:start]], homes, left)
+
+    def _used_lately(self, request: Request) -> list[Engine]:
+        """Those that we have a connection to: before many engines, one for each query adds up."""
+        used = [engine for engine in self.used.values() if engine.ready and engine is not request.avoid]
+        self.random.shuffle(used)
+        return used
+
+    def _cheapest(
+        self, request: Request, now: int, candidates: list[Engine], homes: list[Engine], left: float
+    ) -> Engine | None:
+        """Of the first `left` candidates that may take the request, that with the least cost."""
+        best, best_cost, tables = None, inf, request.event.tables
+        for engine in candidates:
             if left <= 0 or not self._may_send(request, engine, now) or not self._fits(request, engine, now):
                 continue
             left -= 1
@@ -192,6 +225,13 @@
                 best, best_cost = engine, cost * (not engine.suspect)
         return best
 
+    def _note_used(self, engine: Engine) -> None:
+        """Something of ours goes to an engine: it has a connection now."""
+        self.used.pop(engine.process(), None)
+        self.used[engine.process()] = engine
+        if len(self.used) > USED:
+            del self.used[next(iter(self.used))]
+
     def _evidence(self, engine: Engine, ratio: float) -> None:
         """Count one attempt, its time over what was expected; a trial's outcome replaces the belief."""
         engine.expected = PRIOR if engine.suspect else engine.expected + 1
@@ -360,6 +400,8 @@
         attempt = Attempt(engine, now, self._run_us(request), request.need_mb)
         self.out[request.event.request, len(request.attempts)] = attempt
         request.attempts.append(attempt)
+        if self._looks_seldom():
+            self._note_used(engine)
         engine.threads += kind.threads
         engine.memory_mb += request.need_mb
         self.memory_mb += request.need_mb
@@ -428,7 +470,8 @@
             if request.queued and now >= request.hold_us:
                 self._end(request, now)
         self.queue = sorted(item for item in self.queue if item[3].queued)  # a sorted list is a heap
-        if now - self.health_us >= HEALTH_TICKS * self.tick_us:
+        ticks = HEALTH_TICKS * max(1, len(self.engines) // MANY)
+        if now - self.health_us >= ticks * self.tick_us:
             self._health(now)
             self._pump(now)
         self.requests = {k: r for k, r in self.requests.items() if not r.over or r.outs()}
--- a/ashcross/lab/soak/discovery.py
+++ b/ashcross/lab/soak/discovery.py
@@ -50,7 +50,7 @@
         self.news: dict[int, list[News]] = {}  # by number of the event, what it says of engines that drain
         self.entries: dict[str, dict[str, Any]] = {}
         self.addresses: list[Address] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.bytes_written = 0
         self._ticker: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -144,6 +144,7 @@
                 watch.slow += data
                 continue
             watch.writer.write(data)
+            self.bytes_written += len(data)
             for news in self.news.get(event["no"], ()):
                 news.delivered_s.setdefault(address.dispatcher, time.monotonic())
         watch.sent = len(self.events)
--- a/ashcross/lab/soak/ledger.py
+++ b/ashcross/lab/soak/ledger.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+NOTED_LAG_S = 0.002
+
 
 class Kind(Enum):
     """What an answer says."""
@@ -116,8 +118,21 @@
     log_faults: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)  # what was done, for the reader of a report
     worst_lag_s: float = 0.0  # of the rig itself
+    lags: list[tuple[float, float]] = field(default_factory=list)  # when it was late, and by how much
     end_s: float = 0.0
 
+    def note_lag(self, at_s: float, lag_s: float) -> None:
+        """The rig was late just now: what it read then may have come in another order."""
+        self.worst_lag_s = max(self.worst_lag_s, lag_s)
+        if lag_s > NOTED_LAG_S:
+            self.lags.append((at_s, lag_s))
+
+    def lag_in(self, begin_s: float, end_s: float) -> float:
+        """The worst lag of a span."""
+        return max(
+            (lag_s for at_s, lag_s in self.lags if at_s >= begin_s and at_s - lag_s <= end_s), default=0.0
+        )
+
     def of(self, txn: str) -> list[Attempt]:
         """The attempts of a request, by when they began."""
         return sorted((one for one in self.attempts if one.txn == txn), key=lambda one: one.whole_s)
--- a/ashcross/wire/engines.py
+++ b/ashcross/wire/engines.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from ashcross.audit import Event, audit
 from ashcross.errors import AshcrossError, shown
 from ashcross.gateway.interface import NoteKind, Outcome
 from ashcross.logs import seldom
@@ -248,7 +249,9 @@
             self.close()
 
     def _spoilt(self, why: str) -> None:
-        seldom.warn("engine", f"{self.record.name}: {why}; its connection is closed")
+        about = f", open there: {list(self.open)}" if self.open else ""
+        seldom.warn("engine", f"{self.record.name}: {why}; its connection is closed{about}")
+        audit.note(Event.CLOSE_ENGINE, "spoilt", self.record.name, *self.open)
         self._engines.spoilt += 1
         self.close()
 
@@ -365,7 +368,8 @@
 
     def _dial(self, engine: EngineRecord) -> EngineLink | None:
         limits = self.limits
-        if len(engine.links) >= limits.links_per_engine or self.loop.fleet.connections() >= limits.links_most:
+        full = self.loop.fleet.connections() >= limits.links_most
+        if len(engine.links) >= limits.links_per_engine or full and not self._make_room():
             seldom.warn("engine", f"{engine.name}: no connection left for it")
             return None
         link = EngineLink(self, engine)
@@ -374,6 +378,16 @@
         dial(self._reactor, address, timeout_s, link).addErrback(link.dial_failed)
         return link
 
+    def _make_room(self) -> bool:
+        """Close the connection on which nothing was open for longest; False if there is none."""
+        idle = (link for record in self.loop.fleet.records() for link in record.links if link.idle())
+        oldest = min(idle, key=lambda link: link.used_us, default=None)
+        if oldest is None:
+            return False
+        audit.note(Event.CLOSE_ENGINE, "makes room", oldest.record.name)
+        oldest.close()
+        return True
+
     def drained(self, all_of_them: bool = False) -> None:
         """News of the engines: what still lies here for one that takes nothing new must not go out."""
         for record in self.loop.fleet.records():
@@ -397,6 +411,7 @@
                 link.look()
                 done = left or link.doubted or now - link.used_us >= self.limits.idle_us
                 if link.idle() and done:
+                    audit.note(Event.CLOSE_ENGINE, "idle", record.name)
                     link.close()
 
     def close(self) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -791,6 +791,29 @@
     assert wire.aborted
 
 
+def test_at_the_bound_of_connections_one_that_rests_makes_room_and_one_in_use_never() -> None:
+    """Before 1,280 engines a quarter of all requests found `no connection left`, and was refused."""
+    world = EngineWorld(links_most=2)
+    links = []
+    for name, txn in (("e1", "a" * 16), ("e2", "b" * 16)):
+        world.sends(name)
+        world.accept(txn)
+        world.run()
+        links.append(world.links(name)[0])
+        world.come_up(links[-1])
+    world.fleet.take([roster(entry("e3"))])
+    world.sends("e3")
+    world.accept("c" * 16)
+    world.run()
+    assert not world.links("e3")  # both are in use
+    world.loop.settle(world.book.requests["a" * 16].attempts[0], Outcome.GOOD)
+    world.run()
+    world.sends("e3")
+    world.accept("d" * 16)
+    world.run()
+    assert links[0].ended and not links[1].ended and len(world.links("e3")) == 1
+
+
 def test_key_and_priority_go_with_it() -> None:
     world = EngineWorld()
     world.module.script = lambda now, event: (
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -392,3 +392,33 @@
         most = max(sum(at - conf.fall_us < other <= at for other in times) for at in times)
         assert most * 300_000 <= budget
         assert len(times) * 300_000 >= 0.18 * budget * conf.ramp_us / conf.fall_us
+
+
+def many(count: int) -> World:
+    world = World(engines=0)
+    world.listed([entry(f"e{i}") for i in range(count)], api.ListKind.CACHED)
+    return world
+
+
+def test_before_many_engines_those_with_a_connection_come_first() -> None:
+    """One of 1,280 for each query was a new connection for each query."""
+    world = many(600)
+    names = set()
+    for number in range(60):
+        (send,) = sends(world.accept(hint_us=50_000))
+        names.add(send.engine)
+        world.settle(f"r{number}", send.engine, latency_us=50_000)
+    assert len(names) <= 3
+
+
+def test_an_engine_that_has_left_is_never_sent_to_though_all_are_looked_at_seldom() -> None:
+    world = many(600)
+    for left in range(590):
+        change = api.Mode.GONE if left % 2 else api.Mode.DRAINING
+        world.listed([entry(f"e{left}", mode=change)], api.ListKind.DELTA)
+    for number in range(40):
+        (send,) = sends(world.accept(hint_us=50_000))
+        assert int(send.engine[1:]) >= 590
+        world.settle(f"r{number}", send.engine, latency_us=50_000)
+    world.listed([entry("e0", boot_us=world.now - 60_000_000)], api.ListKind.DELTA)  # another process
+    assert any(engine.entry.engine == "e0" and engine.ready for engine in world.gateway.order)
