--- a/ashcross/gateway/interface.py
+++ b/ashcross/gateway/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -278,8 +278,7 @@
 
 
 Event = (
-    EngineList | Accept | Settled | Started | Note | ClientGone
-    | TimerDue | Probed | PeerMessage | Closing
+    EngineList | Accept | Settled | Started | Note | ClientGone | TimerDue | Probed | PeerMessage | Closing
 )
 
 
@@ -318,6 +317,7 @@
 
     request: str
     retry_after_us: int
+    reason: str = field(default="", compare=False)  # one of few literals, for logs and counts
 
 
 @dataclass(frozen=True, slots=True)
@@ -325,6 +325,7 @@
     """Final answer: failed, nothing is promised."""
 
     request: str
+    reason: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -377,6 +378,16 @@
 
 
 Action = (
-    Send | Terms | Cancel | Refuse | Fail | SetTimer | Probe
-    | Subscribe | FetchList | CloseIdle | TellPeers | Log
+    Send
+    | Terms
+    | Cancel
+    | Refuse
+    | Fail
+    | SetTimer
+    | Probe
+    | Subscribe
+    | FetchList
+    | CloseIdle
+    | TellPeers
+    | Log
 )
--- a/ashcross/gateway/policy.py
+++ b/ashcross/gateway/policy.py
@@ -97,12 +97,12 @@
                 self._tick(now)
             case api.EngineList():
                 self._members(now, event)
-            case api.Note() if (attempt := self.out.get((event.request, event.attempt))):
+            case api.Note() if attempt := self.out.get((event.request, event.attempt)):
                 if event.kind is NoteKind.WAITS:  # standing still in an engine's line is not running long
                     attempt.expected_us = max(attempt.expected_us, (now - attempt.sent_us) / 2)
                 elif event.kind is NoteKind.PROGRESS:
                     attempt.total_us = (now - attempt.sent_us) / max(event.value, 0.01)  # as it goes so far
-            case api.Probed() if (engine := self.engines.get(event.engine)):
+            case api.Probed() if engine := self.engines.get(event.engine):
                 self._hear(engine, event.report)
                 if event.outcome is not Outcome.GOOD:
                     self._evidence(engine, CLIP)
@@ -110,7 +110,7 @@
                 self._over(request, now, False)
             case api.Closing():  # what is open gets its answer while that can still be sent
                 for request in self.requests.values():
-                    self._end(request, now)
+                    self._end(request, now, "the process ends")
         self.batch_us = now if self.batch_us == LONG_AGO else self.batch_us
         if not self.ticking and (self.requests or self.s.subscribe):
             self.ticking = True
@@ -306,7 +306,7 @@
             self.keys.setdefault(event.key, deque()).append(request)
         self._hold(request, max(0.0, request.aim_us - now - self._run_us(request)), now)
         if event.left_us <= 2 * (self.tick_us + self.s.step_us):
-            self._end(request, now)  # no tick may come before its deadline
+            self._end(request, now, "no time left when it came")  # no tick may come before its deadline
         self._pump(now)
 
     def _hold(self, request: Request, slack_us: float, now: int) -> None:
@@ -451,8 +451,12 @@
             request.avoid = engine
             barred = kind.effect is Effect.UNSAFE and bool(request.ran())
             late = now >= (request.deadline_us - self._run_us(request) if kind.late_share else request.aim_us)
-            if barred or late or len(request.attempts) >= self.s.max_attempts:
-                self._end(request, now)  # given up on: its answer goes out at once
+            many = len(request.attempts) >= self.s.max_attempts
+            if barred or late or many:
+                why = (
+                    "may not be repeated" if barred else "too late to repeat" if late else "attempts used up"
+                )
+                self._end(request, now, why)  # given up on: its answer goes out at once
             else:
                 self._hold(request, max(request.aim_us - now - self._run_us(request), kind.aim_us / 2), now)
         self._pump(now)
@@ -464,11 +468,11 @@
             self.actions.append(api.Subscribe(True))
         for request in self.requests.values():
             if request.deadline_us <= now + 2 * (self.tick_us + s.step_us):
-                self._end(request, now)
+                self._end(request, now, "its deadline is near")
         self._call_off(now)
         for *_, request in self.queue:
             if request.queued and now >= request.hold_us:
-                self._end(request, now)
+                self._end(request, now, "no engine took it in time")
         self.queue = sorted(item for item in self.queue if item[3].queued)  # a sorted list is a heap
         ticks = HEALTH_TICKS * max(1, len(self.engines) // MANY)
         if now - self.health_us >= ticks * self.tick_us:
@@ -501,14 +505,14 @@
                 request.kills += 1
                 self.actions.append(api.Cancel(ident, number))
 
-    def _end(self, request: Request, now: int) -> None:
+    def _end(self, request: Request, now: int, why: str) -> None:
         """The one place that ends a request, once: refused where rule 2 lets us say so, else failed."""
         if request.over:
             return
         kind, ran, ident = request.kind, request.ran(), request.event.request
         harmless = refusal_is_harmless(kind, ran[0].sent_us if ran else None, now, KEYED)
         back_us = min(self.s.max_retry_after_us, kind.aim_us) * self.s.retry_after
-        self.actions.append(api.Refuse(ident, back_us) if harmless else api.Fail(ident))
+        self.actions.append(api.Refuse(ident, back_us, why) if harmless else api.Fail(ident, why))
         self._over(request, now, False)
 
     def _over(self, request: Request, now: int, served: bool) -> None:
--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -111,7 +111,7 @@
 
 
 def _always_refuse(whole: Any) -> Any:
-    def end(gateway: Any, request: Any, now: int) -> None:
+    def end(gateway: Any, request: Any, now: int, why: str) -> None:
         if not request.over:
             gateway.actions.append(Refuse(request.event.request, 0))
             gateway._over(request, now, False)
@@ -342,9 +342,7 @@
     Mutant("rest-of-key-forgotten", ("order",), ((policy, "UNSETTLED", ()),)),
     Mutant("placed-elsewhere-when-down", ("placement",), (swap(Gateway, "_may_send", _elsewhere_when_down),)),
     Mutant("ration-ignored", ("ration",), (_settings(ration_window_us=0),)),
-    Mutant(
-        "attempts-unbounded", ("ration",), (_settings(max_attempts=50), _limits(max_attempts=50))
-    ),
+    Mutant("attempts-unbounded", ("ration",), (_settings(max_attempts=50), _limits(max_attempts=50))),
     Mutant("clients-unbounded", ("bounds", "answered"), (swap(Clients, "buildProtocol", _all_come),)),
     Mutant(
         "accepts-unbounded", ("bounds",), ((Clients, "listens", nothing), (Clients, "_accepted", nothing))
--- a/ashcross/loop.py
+++ b/ashcross/loop.py
@@ -428,9 +428,11 @@
                 if number < len(request.attempts):
                     attempt = request.attempts[number]
                     self.settle(attempt, self._called_off(attempt, Outcome.CANCELLED))
-            case api.Refuse(txn, back_us) if request := self.book.requests.get(txn):
+            case api.Refuse(txn, back_us, reason) if request := self.book.requests.get(txn):
+                audit.note(Event.REFUSE, reason, txn)
                 self._refuse(now, request, back_us)
-            case api.Fail(txn) if request := self.book.requests.get(txn):
+            case api.Fail(txn, reason) if request := self.book.requests.get(txn):
+                audit.note(Event.FAIL, reason, txn)
                 if not request.over:
                     self._answer(request, jsonrpc.failure(request.ident), "failed")
             case api.Probe(name):
@@ -545,7 +547,8 @@
     def _overdue(self, request: RequestRecord) -> None:
         """The last guard of the answer that is owed: the module had its say until now."""
         if not request.over:
-            seldom.warn("overdue", "a request had no answer at its deadline; it is failed")
+            seldom.warn("overdue", f"{request.txn} had no answer at its deadline; it is failed")
+            audit.note(Event.FAIL, "no answer at its deadline", request.txn)
             self.counts["overdue"] += 1
             self._answer(request, jsonrpc.failure(request.ident), "failed")
             self.gather(api.ClientGone(request.txn))
--- a/ashcross/memory/start_times.py
+++ b/ashcross/memory/start_times.py
@@ -16,7 +16,7 @@
 TOLD_WITHIN_US = 7_000_000  # by when the list has told a change (PROTOCOL)
 AHEAD_US = 10_000_000  # a start may be told ahead by so much; more is a wrong clock
 CERTAIN_US = 1_000_000  # by which two machines' clocks may differ without being wrong
-KEPT = 8_192  # processes whose start is kept, those heard of last: a list that flaps must not renew them
+KEPT = 4_096  # processes whose start is kept, those heard of last: a list that flaps must not renew them
 
 
 class StartTimes:
--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -170,6 +170,7 @@
         for request in list(self.open.values()):
             self._loop.turn_out(request)
         self.finish(reason)
+        self._reading_out = False  # what comes now is thrown away
 
     def read_out(self, all_of_it: bool = False) -> bool:
         """Take in what lies in the kernel now, and the client's close behind it; False if that is too much.
--- a/ashcross/wire/sse.py
+++ b/ashcross/wire/sse.py
@@ -111,6 +111,7 @@
         self._event_most = event_most
         self._chunked, self._fresh = False, True
         self._ident, self._size = "", 0
+        self._begun = False  # a field of an event has come, and not the empty line that ends it
         self._data: list[str] = []
         self.open = False  # has the response's head come whole?
         self.comments = 0  # that have come: all that was to be told at the call has come before the first
@@ -133,10 +134,12 @@
         if self._fresh:
             line, self._fresh = line.removeprefix("\ufeff"), False
         if not line:
+            self._begun = False
             data, self._data, self._size = "\n".join(self._data), [], 0
             return ServerEvent(self._ident, data) if data else None
         name, _, value = line.partition(":")
         self.comments += not name
+        self._begun = self._begun or bool(name)
         value = value.removeprefix(" ")
         if name == "data":
             self._size += len(value) + 1
@@ -150,7 +153,7 @@
     @property
     def in_event(self) -> bool:
         """Has an event or a line begun that is not whole yet?"""
-        return bool(self._data) or any(part.waiting for part in (self._chunks, self._lines))
+        return self._begun or any(part.waiting for part in (self._chunks, self._lines))
 
     def close(self) -> None:
         """Give the buffers back."""
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -254,9 +254,7 @@
         """All that the dispatcher has logged."""
         return self.log.read_text(encoding="utf-8", errors="replace")
 
-    def event(
-        self, number: int, *names: str, whole: bool = False, **changes: Any
-    ) -> dict[str, Any]:
+    def event(self, number: int, *names: str, whole: bool = False, **changes: Any) -> dict[str, Any]:
         """An event of the bulletin on some engines."""
         endpoints = [self.entries[name] | changes for name in names]
         return {"no": number, "roster": {"index": number, "snapshot": whole, "endpoints": endpoints}}
@@ -343,9 +341,7 @@
     def dialling(self, name: str) -> set[int]:
         """The ports from which a connection to this engine is asked for that has not come up."""
         port = self.engines[name].port
-        return {
-            local for local, remote, state, _ in sockets() if (remote, state) == (port, SYN_SENT)
-        }
+        return {local for local, remote, state, _ in sockets() if (remote, state) == (port, SYN_SENT)}
 
     def dials(self, name: str, but: set[int]) -> bool:
         """Is a connection to this engine asked for that has not come up, from none of these ports?"""
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -89,8 +89,15 @@
     other = ["DEFINE_LIST\t0\t1", "ROW\tn2\tnorth\tmetal\t0\t1\t1.0\t-"]
     (reply,) = talk(
         batch(
-            1_000, OPEN.format(1), OPEN.format(2), *LIST, MEMBERS.format(1), *other, MEMBERS.format(2),
-            accept(1, "aa"), accept(2, "bb"),
+            1_000,
+            OPEN.format(1),
+            OPEN.format(2),
+            *LIST,
+            MEMBERS.format(1),
+            *other,
+            MEMBERS.format(2),
+            accept(1, "aa"),
+            accept(2, "bb"),
         )
     )
     assert "SUBMIT_TO\t1\taa\tn1\t0" in reply and "SUBMIT_TO\t2\tbb\tn2\t0" in reply
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -547,6 +547,18 @@
     assert len(world.clients.lingering) == 1
 
 
+def test_an_evicted_connection_is_read_before_it_is_closed() -> None:
+    """Closed over unread bytes it would be reset, and the failures that it was sent go with it."""
+    world = ClientWorld()
+    link, wire = world.connect()
+    link.dataReceived(question(1))
+    link.evict("test")
+    assert [answer.code for answer in answers(wire)] == [jsonrpc.FAILED] and wire.shut
+    wire.in_kernel.append(b"x" * 100)
+    world.reactor.advance(0.6)
+    assert wire.closed and not wire.in_kernel
+
+
 def test_a_flood_after_the_end_is_read_up_to_a_bound() -> None:
     world = ClientWorld()
     link, wire = world.connect()
@@ -1428,6 +1440,18 @@
     assert deadlines == [100_000, 1_000_000]
 
 
+@pytest.mark.parametrize("half", [b"id: 4\n", b"id: 4\ndata: {", b"id: 4\nda"])
+def test_a_pause_within_an_event_ends_no_backlog(half: bytes) -> None:
+    """A slow bulletin: the event that has begun may tell of a drain."""
+    world = BulletinWorld(settle_s=0.05)
+    link, _, _ = world.come_up(b"HTTP/1.1 200 OK\r\n\r\n" + half)
+    world.reactor.advance(0.06)
+    assert world.trusts == []
+    link.dataReceived(event(4)[len(half) :])
+    world.reactor.advance(0.06)
+    assert world.trusts == [True] and world.numbers() == [4]
+
+
 def test_a_backlog_is_read_before_the_list_is_trusted() -> None:
     world = BulletinWorld(settle_s=0.05)
     assert world.trusts == []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -246,9 +246,7 @@
         self.referee.settled(self.world.now, request, number, outcome)
         report = {"cpu": self.rng.random()} if self.conf.reports_inline and self.rng.random() < 0.7 else {}
         closed = self.referee.taken[request].over
-        self.do(
-            api.Settled(request, number, engine, outcome, self.world.now - at, closed, 0, 0.0, report)
-        )
+        self.do(api.Settled(request, number, engine, outcome, self.world.now - at, closed, 0, 0.0, report))
 
     def step(self) -> None:
         """Some time passes, and something happens."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 
 from ashcross.gateway.interface import Effect
 from ashcross.lab.soak.ledger import Answer, Attempt, ColdStart, End, Kind, Ledger, Life, News, Request
 from ashcross.lab.soak.oracle import ClassTerms, Terms, judge
+from ashcross.lab.soak.rig import Plan, play
 
 TERMS = Terms(
     classes={
@@ -197,3 +199,10 @@
     assert judge(ledger, TERMS)
     excuse(ledger, request)
     assert judge(ledger, TERMS) == []
+
+
+def test_a_short_soak_of_real_processes_finds_nothing(tmp_path: Path) -> None:
+    """A few seconds of overlapping faults; `ashcross lab soak` plays more of them, for longer."""
+    outcome = play(Plan(seed=1, dispatchers=3, engines=6, seconds=4.0, clients_each=4), tmp_path)
+    assert outcome.findings == []
+    assert outcome.served > 100 and len(outcome.faults) > 3
