Hold a flooding connection off by its calls, not by its reads, and many floods together

Need: a pause after each read over the bound made large calls wait for longer than small ones, and floods over many connections cost in proportion to their number. Change: a pause after 64 calls over a bound, pings among them, and longer ones where more than four connections are held off.

--- a/ashcross/wire/clients.py
+++ b/ashcross/wire/clients.py
@@ -24,7 +24,9 @@
 ROOM_LOOKS = 16  # connections looked at to make room for one
 RESULTS_SHARE = 0.75  # of the bound on unread answers, for results: refusals and failures need the rest
 CLOSE_S = 0.05  # for the last bytes of a connection that has had its time
-HOLD_OFF_S = 0.05  # between reads from a client whose calls are over a bound: their cost is bounded
+OVER_CALLS = 64  # over a bound, after which their connection is not read for a moment: their cost is bounded
+HOLD_OFF_S = 0.05  # how long, with
+HELD_OFF_FREELY = 4  # such connections at once; longer in proportion with more
 READ_AHEAD = 2  # times the open requests allowed: so many answers may lie unread until no call is read,
 UNREAD_US = 250_000  # if none of them was taken for so long
 
@@ -64,7 +66,7 @@
         self.parting = False  # every further call is refused, and it is ended once nothing is open on it
         self._framed = True  # it is known where the next call begins
         self._feeding = self._reading_out = False
-        self._over_bound = False  # the read at hand brought a call over a bound
+        self._over_calls = 0  # calls over a bound since it was last held off
         self._held_off = self._stopped = False  # not read: for a moment, or until its client reads
         self._flooded_us = -(1 << 62)  # when more lay in the kernel than is read at once
         self._unread_since_us: int | None = None  # since when it was not read, until it is
@@ -277,11 +279,15 @@
         """Read nothing here for a moment, so that a flood of calls costs others little."""
         if not self._held_off:
             self._held_off = True
+            self._clients.held_off += 1
             self._pause_reading()
-            self._clients.later(HOLD_OFF_S, self._hold_off_over)
+            # many floods together may cost no more than a few
+            wait_s = HOLD_OFF_S * max(1.0, self._clients.held_off / HELD_OFF_FREELY)
+            self._clients.later(wait_s, self._hold_off_over)
 
     def _hold_off_over(self) -> None:
         self._held_off = False
+        self._clients.held_off -= 1
         self._read_again()
 
     def _pause_reading(self) -> None:
@@ -314,7 +320,6 @@
         if self._ended or not self._framed:
             return
         arrived_us = self._arrived_us()
-        self._over_bound = False
         self._feeding = True
         try:
             self._feed(data, arrived_us)
@@ -330,15 +335,17 @@
             self._clients.check_waiting()
         if self._ended:
             return
-        if self._over_bound:
+        if self._over_calls >= OVER_CALLS:
+            self._over_calls = 0
             self._hold_off()
         elif self._unread_since_us is not None and not self._reading_out:
             self._clients.later(0, self._read_on)
 
     def _feed(self, data: bytes, arrived_us: int) -> None:
-        for body in self.reader.feed(data):
+        for calls, body in enumerate(self.reader.feed(data), start=1):
             self._clients.used(self)
             self._take(body, arrived_us)
+            self._over_calls += calls > self._clients.limits.open_per_connection  # of any kind, pings too
             if self._ended or not self._framed:
                 return
 
@@ -385,7 +392,7 @@
         self.strikes += 1
         if self in self._clients.links:
             self._clients.rude[self] = None
-        self._over_bound = self._over_bound or self.parting
+        self._over_calls += self.parting
         # an error under an id that is open would be the answer of the request that has it
         ident = None if error.ident in self.open else error.ident
         self._write(jsonrpc.error(ident, error.code, error.told()))
@@ -442,10 +449,10 @@
         """Why a query is not taken, if it is not."""
         limits, book = self._clients.limits, self._loop.book
         if self.parting:
-            self._over_bound = True
+            self._over_calls += 1
             return "behind calls that cannot be used"
         if len(self.open) + self._unread_answers >= limits.open_per_connection:
-            self._over_bound = True  # no usual client asks for so many at once
+            self._over_calls += 1  # no usual client asks for so many at once
             return "too many open on its connection"
         if book.full(statement_bytes):
             return "too many open in all"
@@ -493,6 +500,7 @@
         self.rude: dict[ClientLink, None] = {}  # those with strikes
         self.lingering: dict[ClientLink, None] = {}  # half-closed ones; their descriptors are still ours
         self.unsent = 0
+        self.held_off = 0  # connections that are not read for a moment
         self._port: Any = None
         self._accepting, self._taken = False, 0
 
--- a/tests/test_pipelined.py
+++ b/tests/test_pipelined.py
@@ -91,6 +91,20 @@
     assert last.ident == count + 1 and last.result is not None
 
 
+def test_many_large_calls_written_at_once_are_answered_in_their_time(make: Make) -> None:
+    """A megabyte in one write: a pause for each read would make the last answers late."""
+    scene, count, limit_s = make(), 300, 1.0
+    Serving(scene)
+    client = scene.client()
+    calls = [scene.question(i, scene.txn(), "report", limit_s * 1000, pad=2_500) for i in range(1, count + 1)]
+    writer = threading.Thread(target=client.send, args=calls, daemon=True)
+    began_s = time.monotonic()
+    writer.start()
+    assert Counter(one.ident for one in answers_of(client, count)) == Counter(range(1, count + 1))
+    assert time.monotonic() - began_s < limit_s + 0.5
+    writer.join(LONG_S)
+
+
 def test_calls_that_waited_in_a_pipeline_are_sent_on_with_the_time_that_they_have_left(make: Make) -> None:
     """Read with pauses, the last of them lie in the kernel for seconds."""
     scene, count, limit_s = make(), 4_000, 20.0
