Test of a discovery that is slow to answer, known red

Need: read from the watch. A call is given up after 2.2 s without a byte, also where the answer has not begun, and the next one waits no longer: a discovery that takes 3 s to answer is never heard, and nothing is ever sent.

Measured: with 0.8 s of silence borne and answers after 2 s, nothing is served within 12 s.

--- a/tests/test_watch_age.py
+++ b/tests/test_watch_age.py
@@ -94,3 +94,38 @@
     for watched in (moved, again):
         watched.close()
         watched.listening.socket.close()
+
+
+def answer_slowly(scene: Scene, after_s: float, ended: threading.Event) -> None:
+    """Take one call after the other; answer each after a while, if it is there still."""
+    while not ended.is_set():
+        with contextlib.suppress(OSError):
+            call = scene.watched.call(0.5)
+            threading.Timer(after_s, answer_if_there, (scene, call)).start()
+
+
+def answer_if_there(scene: Scene, call: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        scene.watched.answer(call, scene.whole)
+
+
+def test_discovery_that_takes_longer_to_answer_than_a_silence_is_borne_is_waited_for(make: Make) -> None:
+    """Given up each time before it answered, it never would have been heard."""
+    scene, ended = make(known=False, bulletin_silence_ms=800, start_wait_ms=500), threading.Event()
+    caller = threading.Thread(target=answer_slowly, args=(scene, 2.0, ended), daemon=True)
+    caller.start()
+    client, txn = scene.client(), scene.txn()
+    deadline_s = time.monotonic() + 12.0
+    served = False
+    while not served and time.monotonic() < deadline_s:
+        client.send(scene.question(scene._serial + 1, txn, "report", 2_000.0))
+        with contextlib.suppress(TimeoutError):
+            scene.engines["e1"].socket.settimeout(2.0)
+            link = scene.link()
+            link.serve(link.pulled())
+        answer = client.answer()
+        served = answer is not None and answer.result is not None
+        txn = scene.txn()
+    assert served
+    ended.set()
+    caller.join()
