Wait longer for every second call of discovery that says nothing

Cause: Follower.check gave a call up after 2.2 s without a byte, also before its answer had begun, every time alike. Change: of calls in a row that say nothing each second one is waited for longer (two, then four times as long). The others keep the short wait: a watch that is dead is better asked again.

--- a/ashcross/wire/bulletin.py
+++ b/ashcross/wire/bulletin.py
@@ -20,6 +20,7 @@
 from ashcross.wire.roster import RosterError, parse_event
 
 PATH = "/bulletins"
+LONGEST_SILENCES = 4  # times the silence that is borne, for an answer that has not begun
 STALLED = 4  # times the trust in the list: how long an event may take to come whole
 
 
@@ -117,6 +118,7 @@
         self.trusted = False
         self._settling: Any = None
         self._retry_s = limits.retry_first_s
+        self._silences = 0  # calls in a row that were given up without a byte
         self._replay_to, self._held = 0, list[Roster]()
         self._later: Any = None
 
@@ -141,6 +143,7 @@
         if address == self._address or self._stopped:
             return
         self._address, self._retry_s = address, self._limits.retry_first_s
+        self._silences = 0
         if self._moved_s is None:
             self._moved_s = self._reactor.seconds()
         self._drop()
@@ -180,7 +183,7 @@
         if link is not self._link:
             return False
         self._heard_s = self._reactor.seconds()
-        self._retry_s = self._limits.retry_first_s
+        self._retry_s, self._silences = self._limits.retry_first_s, 0
         return True
 
     def read(self, commented: bool, whole: bool) -> None:
@@ -240,8 +243,9 @@
             )
             self.trusted = False
             self._trust(False)
-        if self._up and self._link is not None and now_s - self._heard_s > self._limits.silence_s:
+        if self._up and self._link is not None and now_s - self._heard_s > self._patience_s():
             logger.info("the bulletin has fallen silent; asked again")
+            self._silences += 1
             self._link.close()
         elif self._up and self._link is not None and now_s - self._whole_s > STALLED * self._limits.trust_s:
             logger.warning("an event of the bulletin does not come to its end; asked again")
@@ -250,6 +254,15 @@
             self._release()  # it never got to where we were: its count has restarted
             self._settled()
 
+    def _patience_s(self) -> float:
+        """How long this call may say nothing.
+
+        It may be slow to answer, or dead and better asked again: each second call in a row waits for longer.
+        """
+        if self._silences % 2 == 0:
+            return self._limits.silence_s
+        return min(LONGEST_SILENCES, self._silences + 1) * self._limits.silence_s
+
     def _is_old(self, now_s: float) -> bool:
         """May the list hide what counts as told by now?"""
         if self._moved_s is not None and now_s - self._moved_s > self._limits.move_trust_s:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1253,7 +1253,8 @@
         link, wire = factory.buildProtocol(None), Wire()
         link.makeConnection(wire)
         asked = wire.taken()
-        link.dataReceived(answer)
+        if answer:
+            link.dataReceived(answer)
         return link._wrappedProtocol, wire, int(asked.partition(b"Last-Event-ID: ")[2].split(b"\r\n")[0])
 
     def refuse(self) -> None:
@@ -1312,6 +1313,22 @@
     assert wire.aborted
 
 
+def test_each_second_call_in_a_row_that_says_nothing_is_waited_for_longer() -> None:
+    """A discovery may be slow to answer; it may as well be dead, and answer the next call at once."""
+    world, waits = BulletinWorld(), list[float]()
+    for _ in range(6):
+        _, wire, _ = world.come_up(b"")
+        waited_s = 0.0
+        while not wire.aborted:
+            world.reactor.advance(0.25)
+            waited_s += 0.25
+            world.follower.check()
+        waits.append(waited_s)
+        world.follower._link.connectionLost(GONE)  # type: ignore[union-attr]
+        world.reactor.advance(2.0)
+    assert waits == [3.75, 7.25, 3.75, 14.25, 3.75, 14.25]
+
+
 @pytest.mark.parametrize("bad", [b"data: {}\n\n", b"data: x\n\n", event(9)])
 def test_a_bad_event_or_a_gap_is_asked_for_afresh_and_old_states_are_not_told_as_news(bad: bytes) -> None:
     world = BulletinWorld()
