--- a/ashcross/lifecycle/checks.py
+++ b/ashcross/lifecycle/checks.py
@@ -17,10 +17,10 @@
 
 
 class ConfigUnreadable(ConfigError):
-    """The configuration's file cannot be read; `passes` where that may be so for a moment only."""
+    """The configuration's file cannot be read; `errno` is the system's reason."""
 
     remedy = "name another file, or let it be read"
-    passes = False
+    errno: int | None = None
 
 
 class Section:
--- a/ashcross/lifecycle/config.py
+++ b/ashcross/lifecycle/config.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
-import errno
 import json
 import os
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from ashcross.errors import shown
 from ashcross.gateway import interface as api
 from ashcross.lifecycle.checks import ConfigError, ConfigUnreadable, Section
+from ashcross.lifecycle.patience import patiently
 from ashcross.lifecycle.settings import HostSettings, decode
 from ashcross.memory.fleet import Roster
 from ashcross.wire.roster import RosterError, address, roster
 
-# the system's troubles that pass: too many open files, no memory, an interrupted or failed read
-PASSING = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EINTR, errno.EAGAIN, errno.EIO))
-READ_PATIENCE_S, READ_AGAIN_S = 10.0, 0.1
+READ_PATIENCE_S = 10.0  # at a start
 PATH_VARIABLE, LISTEN_VARIABLE, NAME_VARIABLE = "ROUTER_CONFIG", "ROUTER_LISTEN", "ROUTER_NAME"
 
 
@@ -151,7 +149,7 @@
             content = json.load(file)
     except OSError as error:
         unreadable = ConfigUnreadable(str(path), "a file that can be read", str(error.strerror))
-        unreadable.passes = error.errno in PASSING
+        unreadable.errno = error.errno
         raise unreadable from None
     except ValueError as error:
         raise ConfigError(str(path), "JSON", str(error)) from None
@@ -263,11 +261,4 @@
 
 def from_process_patiently(path: str | None, stop: Callable[[], bool]) -> Config:
     """The same at a start, where a file that cannot be opened for a moment must not end the process."""
-    until_s = time.monotonic() + READ_PATIENCE_S
-    while True:
-        try:
-            return from_process(path)
-        except ConfigUnreadable as error:
-            if not error.passes or time.monotonic() >= until_s or stop():
-                raise
-        time.sleep(READ_AGAIN_S)
+    return patiently(partial(from_process, path), READ_PATIENCE_S, stop)
--- a/ashcross/lifecycle/door.py
+++ b/ashcross/lifecycle/door.py
@@ -7,17 +7,14 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import json
 import os
 import socket
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 BACKLOG = 512
-LISTEN_AGAIN_S = 0.05
-PASSING = frozenset((errno.EADDRINUSE, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINTR))
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,20 +48,9 @@
     return None
 
 
-def listen_patiently(address: tuple[str, int], patience_s: float, stop: Callable[[], bool]) -> Door:
-    """Listen, trying again for a while where the system says that it cannot; `OSError` if it never can.
-
-    Descriptors, buffers or the address itself may be missing for a moment, as at a restart among many. Waits
-    in short sleeps, as nothing runs yet that could be served; `stop` ends them early.
-    """
-    until_s = time.monotonic() + patience_s
-    while True:
-        try:
-            return _listen(*address, used_s=0.0)
-        except OSError as error:
-            if error.errno not in PASSING or time.monotonic() >= until_s or stop():
-                raise
-        time.sleep(LISTEN_AGAIN_S)
+def listen_at(address: tuple[str, int]) -> Door:
+    """Listen there, once the configuration is read; `OSError` if that cannot be done."""
+    return _listen(*address, used_s=0.0)
 
 
 def _listen(host: str, port: int, used_s: float) -> Door:
--- a/ashcross/lifecycle/service.py
+++ b/ashcross/lifecycle/service.py
@@ -4,6 +4,7 @@
 
 import gc
 from collections.abc import Callable
+from functools import partial
 from socket import AF_INET
 from typing import Any, Protocol
 
@@ -18,7 +19,8 @@
 from ashcross.lifecycle.checks import ConfigError
 from ashcross.lifecycle.clock import Clock, unix_us
 from ashcross.lifecycle.config import Config, set_descriptor_limit
-from ashcross.lifecycle.door import BACKLOG, Door, listen_patiently
+from ashcross.lifecycle.door import BACKLOG, Door, listen_at
+from ashcross.lifecycle.patience import patiently
 from ashcross.lifecycle.phases import Phase, Phases
 from ashcross.lifecycle.reactor import install as install_reactor
 from ashcross.lifecycle.signals import Signals
@@ -363,7 +365,16 @@
 
     `attach` puts beside the dispatcher what an operator's file asks for.
     """
-    reactor = install_reactor()
+    patience_s = config.transport.start_patience_ms / 1000
+
+    def stops() -> bool:
+        return signals.stop
+
+    try:
+        reactor = patiently(install_reactor, patience_s, stops)
+    except OSError as error:
+        logger.error("cannot wait for sockets: {}", error)
+        return 1
     set_descriptor_limit(config.sockets)
     logs.watch_twisted()
     audit.detailed = config.transport.log_level == "DEBUG"
@@ -379,8 +390,7 @@
             service.drain()
 
     try:
-        patience_s = config.transport.start_patience_ms / 1000
-        service.start(door or listen_patiently(config.listen, patience_s, lambda: signals.stop))
+        service.start(door or patiently(partial(listen_at, config.listen), patience_s, stops))
     except (CannotListenError, OSError) as error:
         logger.error("cannot listen: {}", error)
         return 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator, Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from ashcross.lab.faults import shim
+from tests.parties import Scene
+
+Make = Callable[..., Scene]
 
 LOG_LINES = 60  # of each process's log, shown with a test that failed
 
@@ -32,3 +35,17 @@
 def shim_library(tmp_path_factory: pytest.TempPathFactory) -> Path:
     """The preloaded library that moves a process's wall clock and lets its calls fail."""
     return shim.build(tmp_path_factory.mktemp("shim"))
+
+
+@pytest.fixture
+def make(tmp_path: Path) -> Iterator[Make]:
+    """Builds scenes: a real `serve` process before scripted parties, ended with the test."""
+    made: list[Scene] = []
+
+    def build(**more: Any) -> Scene:
+        made.append(Scene(tmp_path, **more))
+        return made[-1]
+
+    yield build
+    for scene in made:
+        scene.close()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -12,9 +12,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterator
-from pathlib import Path
-from typing import Any
+from collections.abc import Callable
 
 import pytest
 
@@ -25,19 +23,6 @@
 Make = Callable[..., Scene]
 
 
-@pytest.fixture
-def make(tmp_path: Path) -> Iterator[Make]:
-    made: list[Scene] = []
-
-    def build(**more: Any) -> Scene:
-        made.append(Scene(tmp_path, **more))
-        return made[-1]
-
-    yield build
-    for scene in made:
-        scene.close()
-
-
 @pytest.fixture
 def scene(make: Make) -> Scene:
     made = make()
--- a/tests/test_watch_age.py
+++ b/tests/test_watch_age.py
@@ -8,11 +8,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator
-from pathlib import Path
-from typing import Any
-
-import pytest
+from collections.abc import Callable
 
 from ashcross.lab.processes import wait_for
 from ashcross.wire import jsonrpc
@@ -21,19 +17,6 @@
 Make = Callable[..., Scene]
 
 
-@pytest.fixture
-def make(tmp_path: Path) -> Iterator[Make]:
-    made: list[Scene] = []
-
-    def build(**more: Any) -> Scene:
-        made.append(Scene(tmp_path, **more))
-        return made[-1]
-
-    yield build
-    for scene in made:
-        scene.close()
-
-
 def is_refused(scene: Scene) -> bool:
     """Is a request held, and refused without having been sent?"""
     client = scene.client()
