--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -308,6 +308,29 @@
     assert not wire.in_kernel and len(answers(wire)) == 88
 
 
+def test_a_request_behind_several_pauses_counts_from_before_the_first() -> None:
+    """The kernel was never seen empty since: it may have lain there all the time."""
+    world = ClientWorld(open_per_connection=1)
+    link, wire = world.connect()
+    began_us = world.now_us
+
+    def many(first: int) -> bytes:
+        return b"".join(question(ident, f"{ident:016x}") for ident in range(first, first + 70))
+
+    wire.in_kernel += [many(101), many(201), question(999, "f" * 16)]
+    link.dataReceived(many(1))
+    world.run()
+    link.reply(1, b"")
+    for _ in range(3):
+        world.now_us += 51_000
+        world.reactor.advance(0.051)
+        world.run()
+        for ident in list(link.open):
+            if ident != 999:
+                link.reply(ident, b"")
+    assert {i: r.deadline_us for i, r in link.open.items()} == {999: began_us + 1_000_000}
+
+
 def test_floods_of_pings_and_many_floods_at_once_are_held_off_too() -> None:
     world = ClientWorld(connections=9, open_per_connection=2)
     floods = [world.connect() for _ in range(8)]
