--- a/tests/parties.py
+++ b/tests/parties.py
@@ -38,6 +38,20 @@
         yield int(local[9:], 16), int(remote[9:], 16), int(state, 16), int(queues.partition(":")[0], 16)
 
 
+def fill_accept_queue(port: int) -> list[socket.socket]:
+    """Connect until one does not come up any more."""
+    filling = []
+    for _ in range(8):
+        one = socket.socket()
+        one.settimeout(0.2)
+        filling.append(one)
+        try:
+            one.connect(("127.0.0.1", port))
+        except TimeoutError:
+            break
+    return filling
+
+
 class EngineSide:
     """One connection of the dispatcher to an engine, as the engine has it."""
 
--- a/tests/test_deadline_passed_on.py
+++ b/tests/test_deadline_passed_on.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from ashcross.lab.processes import wait_for
 from ashcross.wire import resp
-from tests.parties import EngineSide, Scene
+from tests.conftest import Make
+from tests.parties import EXAMPLE, EngineSide, Scene, fill_accept_queue
 
 SLACK_S = 0.15
 LIMIT_S = 3.0
@@ -34,6 +36,31 @@
     return int(resp.fields(words[2])["patience"]) / 1000 - left_s
 
 
+def test_a_dial_that_comes_up_late_is_taken_off_the_time(make: Make) -> None:
+    """The engine's accept queue is full: the kernel asks again a second later."""
+    limits = EXAMPLE["settings"]["Limits"] | {"DialTimeout": 2_500_000, "Probes": False}
+    scene = make(settings={"Limits": limits}, backlog=0)
+    scene.come_up()
+    time.sleep(0.3)  # past the first sweep: until then a request counts from the start of the process
+    queue, client = scene.engines["e1"], scene.client()
+    filling = fill_accept_queue(queue.port)
+    ours = {one.getsockname()[1] for one in filling}
+    client.send(scene.question(1, scene.txn(), "report", LIMIT_S * 1000))
+    sent_s = time.monotonic()
+    wait_for("the dial", lambda: scene.dials("e1", ours))
+    time.sleep(0.5)  # longer than the slack; the dial is still out
+    for one in filling:
+        one.close()
+    sock = queue.accept()
+    while sock.getpeername()[1] in ours:
+        sock = queue.accept()
+    late_s = excess_s(EngineSide(sock), sent_s)
+    waited_s = time.monotonic() - sent_s
+    print(f"dial of {waited_s:.2f} s: {late_s:.3f} s past what the client has left")
+    assert waited_s > 0.5 and late_s <= SLACK_S
+    assert client.answer() is not None
+
+
 @pytest.mark.parametrize("stopped_s", STANDSTILLS_S)
 def test_a_standstill_over_an_unread_request_is_taken_off_its_time(scene: Scene, stopped_s: float) -> None:
     link, client = scene.warm(), scene.client()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -18,7 +18,7 @@
 
 from ashcross.lab.processes import wait_for
 from ashcross.wire import jsonrpc
-from tests.parties import EXAMPLE, LONG_S, ClientSide, EngineSide, Scene, Watched
+from tests.parties import EXAMPLE, LONG_S, ClientSide, EngineSide, Scene, Watched, fill_accept_queue
 
 Make = Callable[..., Scene]
 
@@ -139,15 +139,7 @@
     scene = make(settings={"Limits": limits}, backlog=0)
     scene.come_up()
     queue = scene.engines["e1"]
-    filling = []
-    for _ in range(8):  # until one does not come up
-        one = socket.socket()
-        one.settimeout(0.2)
-        filling.append(one)
-        try:
-            one.connect(("127.0.0.1", queue.port))
-        except TimeoutError:
-            break
+    filling = fill_accept_queue(queue.port)
     client = scene.client()
     client.send(scene.question(1, scene.txn(), "report", 60_000.0))
     ports = {one.getsockname()[1] for one in filling}
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -21,7 +21,7 @@
 from ashcross.lab.processes import wait_for
 from ashcross.memory.start_times import StartTimes
 from ashcross.wire import jsonrpc
-from tests.parties import EXAMPLE, LONG_S, ClientSide, EngineSide, Scene
+from tests.parties import EXAMPLE, LONG_S, ClientSide, EngineSide, Scene, fill_accept_queue
 
 STEPS_S = (-3600.0, -5.0, -0.2, 5.0, 3600.0)
 GRACE_S = 0.5  # of a final answer after its time
@@ -155,20 +155,6 @@
         one.close()
 
 
-def fill_accept_queue(port: int) -> list[socket.socket]:
-    """Connect until one does not come up any more."""
-    filling = []
-    for _ in range(8):
-        one = socket.socket()
-        one.settimeout(0.2)
-        filling.append(one)
-        try:
-            one.connect(("127.0.0.1", port))
-        except TimeoutError:
-            break
-    return filling
-
-
 def open_at(scene: Scene, client: ClientSide) -> bool:
     """Does the dispatcher still hold its side of a connection? States 1, 4, 5 and 8 have an owner."""
     port = client.socket.getsockname()[1]
