--- a/ashcross/lab/mutants.py
+++ b/ashcross/lab/mutants.py
@@ -75,10 +75,10 @@
 
 
 def _never_draining(whole: Any) -> Any:
-    def apply(fleet: Any, entry: Any) -> None:
+    def apply(fleet: Any, entry: Any, unseen_us: int | None) -> Any:
         if entry.told.mode is Mode.DRAINING:
             entry = replace(entry, told=replace(entry.told, mode=Mode.READY))
-        whole(fleet, entry)
+        return whole(fleet, entry, unseen_us)
 
     return apply
 
