Soak: one way to end and start a dispatcher; drop a generator that discovery never drew from

Found on a second read: SIGTERM and SIGKILL faults were the same eight lines twice, and Discovery kept a random generator that nothing used. What is drawn from a seed stays the same.

--- a/ashcross/lab/soak/discovery.py
+++ b/ashcross/lab/soak/discovery.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import random
 import re
 import time
 from dataclasses import dataclass, field
@@ -44,8 +43,8 @@
 class Discovery:
     """The list of engines, and who hears of it."""
 
-    def __init__(self, ledger: Ledger, draw: random.Random) -> None:
-        self.ledger, self.draw = ledger, draw
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
         self.events: list[dict[str, Any]] = []
         self.news: dict[int, list[News]] = {}  # by number of the event, what it says of engines that drain
         self.entries: dict[str, dict[str, Any]] = {}
--- a/ashcross/lab/soak/rig.py
+++ b/ashcross/lab/soak/rig.py
@@ -103,7 +103,7 @@
         self.draw = random.Random(plan.seed)
         self.ledger = Ledger()
         self.engines = [Engine(f"e{n}", self.ledger, self._branch(f"e{n}")) for n in range(plan.engines)]
-        self.discovery = Discovery(self.ledger, self._branch("discovery"))
+        self.discovery = Discovery(self.ledger)
         self.dispatchers: list[Dispatcher] = []
         self.populations: list[Population] = []
         self.ended = False
@@ -233,21 +233,17 @@
         return self.draw.choice([engine for engine in self.engines if engine.up] or self.engines)
 
     async def _restart(self, span_s: float) -> None:
-        dispatcher = self._free_dispatcher()
-        if dispatcher is None:
-            return
-        self._note(f"SIGTERM d{dispatcher.number}")
-        dispatcher.signal(signal.SIGTERM)
-        await self._until(lambda: dispatcher.life is None or dispatcher.life.exit_s is not None, 8.0)
-        dispatcher.start()
-        dispatcher.busy = False
+        await self._end_and_start(signal.SIGTERM)
 
     async def _kill(self, span_s: float) -> None:
+        await self._end_and_start(signal.SIGKILL)
+
+    async def _end_and_start(self, number: signal.Signals) -> None:
         dispatcher = self._free_dispatcher()
         if dispatcher is None:
             return
-        self._note(f"SIGKILL d{dispatcher.number}")
-        dispatcher.signal(signal.SIGKILL)
+        self._note(f"{number.name} d{dispatcher.number}")
+        dispatcher.signal(number)
         await self._until(lambda: dispatcher.life is None or dispatcher.life.exit_s is not None, 8.0)
         dispatcher.start()
         dispatcher.busy = False
--- a/tools/fleet_sizes.py
+++ b/tools/fleet_sizes.py
@@ -82,7 +82,7 @@
     """One dispatcher before so many engines."""
     ledger, draw = Ledger(), random.Random(engines)
     fleet = [Engine(f"e{n}", ledger, random.Random(n)) for n in range(engines)]
-    discovery = Discovery(ledger, draw)
+    discovery = Discovery(ledger)
     for engine in fleet:
         await engine.listen()
         discovery.entries[engine.name] = entry(engine)
