Refuse an answer that is a page and has no word for it

Cause: messages.parse_answer wanted three words of any answer and took an empty page for a missing one. With `*3` before the four words of an answer the result was complete before the reader met the page's bytes.

Every single wrong length (tag, word, fields, page, array; -16 to +79; whole and byte by byte) was played: only the array's, one too small, was served.

A result without rows has an empty fourth word and is still served.

--- a/ashcross/protocols/engines/messages.py
+++ b/ashcross/protocols/engines/messages.py
@@ -14,7 +14,8 @@
 from ashcross.protocols.engines import resp
 from ashcross.registry.request_registry import RequestRecord
 
-MIN_ANSWER_WORDS = 3  # tag, word and fields; the body may be missing
+MIN_ANSWER_WORDS = 3  # tag, word and fields
+PAGE_ANSWER_WORDS = 4  # the same and the page; its result may have no rows, but the word is there
 
 
 class EngineProtocolError(AshcrossError):
@@ -33,6 +34,7 @@
     UNKNOWN = "a word that the protocol does not define"
 
 
+PAGE_KINDS = (AnswerKind.FIRST_PAGE, AnswerKind.PAGE)
 # wire word -> kind of answer
 ANSWER_KINDS = {"served": AnswerKind.FIRST_PAGE, "rows": AnswerKind.PAGE, "update": AnswerKind.PROGRESS}
 # wire word -> outcome of the attempt that it ends
@@ -57,7 +59,7 @@
     tag: str  # the request's id, or a health check's tag
     word: str
     fields: dict[str, str]
-    body: bytes
+    body: bytes  # empty for answers other than pages, which may have none
 
     @property
     def kind(self) -> AnswerKind:
@@ -110,11 +112,17 @@
 
 
 def parse_answer(words: list[bytes]) -> EngineAnswer:
-    """Parse an answer from its words; raises `EngineProtocolError` if there are too few."""
+    """Parse an answer from its words; raises `EngineProtocolError` if their number does not fit its kind."""
     if len(words) < MIN_ANSWER_WORDS:
         raise EngineProtocolError("answer", f"{MIN_ANSWER_WORDS} words or more", f"{len(words)} words")
+    tag, word, fields = words[:MIN_ANSWER_WORDS]
     body = words[MIN_ANSWER_WORDS] if len(words) > MIN_ANSWER_WORDS else b""
-    return EngineAnswer(words[0].decode("latin-1"), words[1].decode("latin-1"), resp.fields(words[2]), body)
+    answer = EngineAnswer(tag.decode("latin-1"), word.decode("latin-1"), resp.fields(fields), body)
+    # with an array length that is one too small, the page stays behind the answer: it is not empty but unread
+    if answer.kind in PAGE_KINDS and len(words) != PAGE_ANSWER_WORDS:
+        wanted = f"{PAGE_ANSWER_WORDS} words for a page"
+        raise EngineProtocolError(f"answer {shown(word)}", wanted, f"{len(words)} words")
+    return answer
 
 
 def start_query(request: RequestRecord, time_limit_ms: int) -> bytes:
--- a/tests/protocols/engines/test_connection.py
+++ b/tests/protocols/engines/test_connection.py
@@ -243,6 +243,64 @@
     assert not bed.client.frames
 
 
+ANSWER_WORDS = (REQUEST_ID_BYTES, b"served", b"total=1,l=x0:0.1", b"a\t\t\nb\t\t\n")
+ARRAY = len(ANSWER_WORDS)  # index of the array's own length, after those of the words
+
+
+def with_wrong_length(index: int, difference: int) -> bytes | None:
+    """Encode an answer of which one length does not fit; None if it would be negative."""
+    lengths = [*(len(word) for word in ANSWER_WORDS), len(ANSWER_WORDS)]
+    lengths[index] += difference
+    if lengths[index] < 0:
+        return None
+    parts = zip(lengths, ANSWER_WORDS, strict=False)
+    return b"*%d\r\n" % lengths[ARRAY] + b"".join(b"$%d\r\n%b\r\n" % part for part in parts)
+
+
+@pytest.mark.parametrize("index", range(ARRAY + 1), ids=["tag", "word", "fields", "page", "array"])
+@pytest.mark.parametrize("piece_bytes", [1, 1_000])
+def test_answer_with_a_wrong_length_is_not_served(index: int, piece_bytes: int) -> None:
+    """Guards against a lost result: `*3` before the four words of an answer gave a result without rows."""
+    played = 0
+    for difference in (*range(-16, 0), *range(1, 80)):
+        data = with_wrong_length(index, difference)
+        if data is None:
+            continue
+        bed = EngineBed()
+        connection, transport = bed.start_attempt("e1")
+        for at in range(0, len(data), piece_bytes):
+            connection.dataReceived(data[at : at + piece_bytes])
+        for _ in range(4):  # an answer that stays incomplete is given up
+            bed.pool.sweep()
+        bed.run(10_000)
+        assert not bed.client.frames, data
+        assert transport.aborted, data
+        assert bed.outcomes() == [(0, AttemptOutcome.RESET, False)], data
+        played += 1
+    assert played >= 79
+
+
+def test_further_page_without_its_word_closes_the_connection() -> None:
+    """Guards against a lost page: `*3` before a `rows` answer left that page out of the result."""
+    bed = EngineBed()
+    connection, transport = bed.start_attempt("e1")
+    bed.send(connection, REQUEST_ID_BYTES, b"served", b"total=2", b"a\t\t\n")
+    page = resp.encode(REQUEST_ID_BYTES, b"rows", b"index=1", b"b\t\t\n")
+    connection.dataReceived(page.replace(b"*4", b"*3", 1))
+    bed.run(10_000)
+    assert not bed.client.frames
+    assert transport.aborted
+    assert bed.outcomes() == [(0, AttemptOutcome.RESET, False)]
+
+
+def test_result_without_rows_is_served() -> None:
+    bed = EngineBed()
+    connection, transport = bed.start_attempt("e1")
+    bed.send(connection, REQUEST_ID_BYTES, b"served", b"total=1", b"")
+    assert base64.b64decode(bed.client.answers()[0]["result"]["body"]) == b""
+    assert not transport.aborted
+
+
 def test_answers_before_a_protocol_error_count() -> None:
     bed = EngineBed()
     connection, transport = bed.start_attempt("e1")
