--- a/ashcross/simulation/emulated_engines.py
+++ b/ashcross/simulation/emulated_engines.py
@@ -38,6 +38,9 @@
     lambda wire_id, answer: b"*4\r\n$16\r\n"
     + wire_id
     + b"\r\n$6\r\nserved\r\n$7\r\ntotal=1\r\n$3000000000\r\nabc",
+    lambda wire_id, answer: answer.replace(b"*4", b"*3", 1),
+    lambda wire_id, answer: answer.replace(b"*4", b"*5", 1),
+    lambda wire_id, answer: answer.replace(b"$%d" % len(wire_id), b"$%d" % (len(wire_id) - 1), 1),
 )
 
 
--- a/ashcross/simulation/mutants.py
+++ b/ashcross/simulation/mutants.py
@@ -337,6 +337,7 @@
         "answer-dropped-while-unread", ("answered",), (swap(ClientConnection, "_write", _drop_when_blocked),)
     ),
     Mutant("pages-in-reverse", ("answered",), (swap(json_rpc, "result", _reverse_pages),)),
+    Mutant("missing-page-taken-for-empty", ("answered",), ((messages, "PAGE_KINDS", ()),)),
     Mutant("spoilt-page-passed-on", ("answered",), ((EngineConnection, "_is_valid_page", _true),)),
     Mutant(
         "overdue-guard-removed", ("answered",), ((RequestLifecycle, "_expire", nothing), *SILENT_SCHEDULER)
--- a/ashcross/simulation/soak/engines.py
+++ b/ashcross/simulation/soak/engines.py
@@ -246,14 +246,16 @@
             del self.pages[request_id]
 
     def write_corrupt_answer(self, attempt: Attempt) -> None:
-        """Write noise, half an answer, or half an answer followed by a close."""
+        """Write noise, half an answer, half an answer and a close, or an answer with a wrong array length."""
         self.end_attempt(attempt, AttemptEnd.CRASHED)
         answer = resp.encode(attempt.request_id.encode(), b"served", b"total=1", b"a\tb\tc\n")
-        corruption = self.engine.random_source.randrange(3)
+        corruption = self.engine.random_source.randrange(4)
         if corruption == 0:
             self.transport.write(b"\x00\xff noise\r\n")
         elif corruption == 1:
             self.transport.write(answer[: len(answer) // 2])
+        elif corruption == 2:
+            self.transport.write(answer.replace(b"*4", b"*3", 1))
         else:
             self.transport.write(answer[: len(answer) // 2])
             self.transport.close()
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -203,6 +203,7 @@
     "late-after-a-standstill": ("late-after-a-standstill", "answered"),
     "order-key-not-told": ("order-key-not-told", "order"),
     "crowd-after-a-standstill": ("ends-over-unread-calls", "answered"),
+    "page-missing-from-its-answer": ("missing-page-taken-for-empty", "answered"),
     "stuck-queries-after-their-answer": ("stuck-queries-go-out", "answered"),
     "unread-behind-a-slow-reader": ("slow-readers-are-not-read", "answered"),
 }
