Withhold a process when another one is listed at its address

Cause: EndpointRegistry knew processes by name alone. A new one at the address of one that has gone left the old record ready, with the old zone, cell and kind, so the retry was judged by these and dialed into the new process.

Evidence: the case's record has the PULL at the new process 1 s after its own entry was told; its entry, of another cell, cannot have been chosen.

Change: the registry keeps which process listens at each address: the one that a later event listed first, within one event the one that started later. Others there are withheld, as draining ones are. The test harness gives each engine a port of its own; before, e1 and e2 shared one.

--- a/ashcross/registry/endpoint_registry.py
+++ b/ashcross/registry/endpoint_registry.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from ashcross.decisions.events import Endpoint, EndpointListKind, EndpointListUpdate, EndpointState
+from ashcross.logs import rate_limited_log
 from ashcross.registry.request_registry import AttemptRecord, HealthCheckRecord
 
 # Returns an endpoint with its start time. The second argument is how long ago (us) the list did not name it,
@@ -106,6 +107,7 @@
     port: int
     boot_us: int
     state: EndpointState
+    first_event: int = 0  # the first event that listed it, counted by the registry
     connections: list[PooledConnection] = field(default_factory=list)
 
     @property
@@ -113,6 +115,21 @@
         """Whether new attempts may be written to the engine."""
         return self.state is EndpointState.READY
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """The host and port at which the process was listed."""
+        return self.host, self.port
+
+
+def listens_instead_of(process: EngineRecord, other: EngineRecord) -> bool:
+    """Return whether `process` is the one that listens at the address that both are listed with.
+
+    A process may get the address of one that has gone and is still listed. The one that a later event listed
+    first is the later one. The entries of one event have no order: there the start times decide, and of two
+    equal ones the entry that is applied last.
+    """
+    return (process.first_event, process.boot_us) >= (other.first_event, other.boot_us)
+
 
 class EndpointRegistry:
     """Engines by name; the records of removed engines are kept until their connections have ended."""
@@ -122,6 +139,8 @@
         self.engines: dict[str, EngineRecord] = {}
         self.departed: list[EngineRecord] = []  # removed engines that still have connections
         self._endpoints: dict[str, Endpoint] = {}
+        self._listening: dict[tuple[str, int], EngineRecord] = {}  # by address; the others there are withheld
+        self._event_count = 0
         self.version = 0
 
     def apply_events(
@@ -134,6 +153,7 @@
         changed: dict[str, Endpoint] = {}
         has_snapshot = False
         for event in events:
+            self._event_count += 1
             self.version = event.version
             if event.is_snapshot:
                 has_snapshot = True
@@ -142,7 +162,7 @@
                 if event.withheld_only or discovered.unreadable:
                     self._withhold(discovered.endpoint.name, changed)
                 else:
-                    changed[discovered.endpoint.name] = self._apply(discovered, event.unconfirmed_us)
+                    self._apply(discovered, event.unconfirmed_us, changed)
         if kind is EndpointListKind.CACHED:
             return EndpointListUpdate(kind, self.version, tuple(self._endpoints.values()))
         if has_snapshot:
@@ -158,24 +178,53 @@
         for name in [name for name in self.engines if name not in listed]:
             self._remove(name)
 
-    def _apply(self, discovered: DiscoveredEndpoint, unseen_us: int | None) -> Endpoint:
-        """Apply one entry of the list and return the endpoint for the scheduler."""
+    def _apply(
+        self, discovered: DiscoveredEndpoint, unseen_us: int | None, changed: dict[str, Endpoint]
+    ) -> None:
+        """Apply one entry of the list and add the endpoints that it changes for the scheduler."""
         endpoint = discovered.endpoint
         if endpoint.state is EndpointState.REMOVED:
             self._remove(endpoint.name)
-            return endpoint
+            changed[endpoint.name] = endpoint
+            return
         endpoint = self._resolve_start_time(endpoint, unseen_us)
         record = self.engines.get(endpoint.name)
         if record is None or not _is_same_process(record, discovered, endpoint):
             # a new process or a new address: no new attempt may be written on the old connections
             self._remove(endpoint.name)
             record = EngineRecord(
-                endpoint.name, discovered.host, discovered.port, endpoint.boot_us, endpoint.state
+                endpoint.name,
+                discovered.host,
+                discovered.port,
+                endpoint.boot_us,
+                endpoint.state,
+                self._event_count,
             )
             self.engines[endpoint.name] = record
         record.state = endpoint.state
         self._endpoints[endpoint.name] = endpoint
-        return endpoint
+        changed[endpoint.name] = endpoint
+        self._withhold_others_at_address(record, changed)
+
+    def _withhold_others_at_address(self, record: EngineRecord, changed: dict[str, Endpoint]) -> None:
+        """Withhold all but one of the processes that are listed at the address of `record`.
+
+        Without this a query for a process that has gone would reach another one at its address, of another
+        kind, zone or cell, or one in slow start.
+        """
+        listening = self._listening.get(record.address)
+        gone: EngineRecord | None = record
+        if listening is None or listens_instead_of(record, listening):
+            gone, listening = listening, record
+            self._listening[record.address] = record
+        if gone is None or gone is listening or not gone.ready:
+            return
+        rate_limited_log.warn(
+            "roster",
+            "engine gets no new attempts, another one is listed at its address: "
+            f"engine={gone.name!r} address={gone.host}:{gone.port} other={listening.name!r}",
+        )
+        self._withhold(gone.name, changed)
 
     def _withhold(self, name: str, changed: dict[str, Endpoint]) -> None:
         """Mark a known engine as draining, so that it gets nothing new; a later event gives its state."""
@@ -191,6 +240,8 @@
         record = self.engines.pop(name, None)
         if record is not None:
             record.state = EndpointState.REMOVED
+            if self._listening.get(record.address) is record:
+                del self._listening[record.address]
             if record.connections:
                 self.departed.append(record)
 
--- a/ashcross/simulation/mutants.py
+++ b/ashcross/simulation/mutants.py
@@ -101,11 +101,11 @@
 
 
 def _ignore_draining_in_registry(original: Any) -> Any:
-    def apply(registry: Any, discovered: Any, unseen_us: int | None) -> Any:
+    def apply(registry: Any, discovered: Any, unseen_us: int | None, changed: Any) -> None:
         if discovered.endpoint.state is EndpointState.DRAINING:
             ready_endpoint = replace(discovered.endpoint, state=EndpointState.READY)
             discovered = replace(discovered, endpoint=ready_endpoint)
-        return original(registry, discovered, unseen_us)
+        original(registry, discovered, unseen_us, changed)
 
     return apply
 
--- a/tests/harness/dispatcher_bed.py
+++ b/tests/harness/dispatcher_bed.py
@@ -39,9 +39,10 @@
 
 
 def discovered_endpoint(
-    name: str, port: int = 1, state: EndpointState = EndpointState.READY, boot_us: int = 0
+    name: str, port: int = 0, state: EndpointState = EndpointState.READY, boot_us: int = 0
 ) -> DiscoveredEndpoint:
-    """Return one entry of an endpoint list."""
+    """Return one entry of an endpoint list; without a port it has one of its own, 1 for e1."""
+    port = port or (int(name[1:]) if name[1:].isdigit() else ord(name[0]))
     return DiscoveredEndpoint(Endpoint(name, "z", "k", 0, state, 1.0, boot_us), "127.0.0.1", port)
 
 
--- a/tests/registry/test_endpoint_registry.py
+++ b/tests/registry/test_endpoint_registry.py
@@ -5,7 +5,9 @@
 from dataclasses import replace
 from typing import cast
 
-from ashcross.decisions.events import EndpointListKind, EndpointState
+import pytest
+
+from ashcross.decisions.events import EndpointListKind, EndpointListUpdate, EndpointState
 from ashcross.registry.endpoint_registry import EndpointListEvent, EndpointRegistry, PooledConnection
 from tests.harness.dispatcher_bed import discovered_endpoint, endpoint_list_event
 
@@ -116,3 +118,66 @@
         "a": EndpointState.DRAINING,
         "b": EndpointState.READY,
     }
+
+
+def states(update: EndpointListUpdate) -> dict[str, EndpointState]:
+    return {endpoint.name: endpoint.state for endpoint in update.endpoints}
+
+
+def test_process_at_the_address_of_another_withholds_that_one() -> None:
+    """Guards against a request that runs twice: its retry for a gone process reached the next one there."""
+    registry = EndpointRegistry()
+    registry.apply_events([endpoint_list_event(discovered_endpoint("old", 7), is_snapshot=True)])
+    old = registry.engines["old"]
+    update = registry.apply_events([endpoint_list_event(discovered_endpoint("new", 7, boot_us=5))])
+    assert states(update) == {"old": EndpointState.DRAINING, "new": EndpointState.READY}
+    assert not old.ready
+    assert registry.engines["new"].ready
+    assert states(registry.snapshot()) == states(update)
+
+
+@pytest.mark.parametrize("names", [("old", "new"), ("new", "old")])
+def test_start_times_decide_which_process_of_one_list_is_at_the_address(names: tuple[str, str]) -> None:
+    start_us = {"old": 3, "new": 5}
+    registry = EndpointRegistry()
+    entries = [discovered_endpoint(name, 7, boot_us=start_us[name]) for name in names]
+    update = registry.apply_events([endpoint_list_event(*entries, is_snapshot=True)])
+    assert states(update) == {"old": EndpointState.DRAINING, "new": EndpointState.READY}
+
+
+@pytest.mark.parametrize("start_us", [1, 9])
+def test_later_event_decides_over_start_times(start_us: int) -> None:
+    """Guards against a wrong start time, which is by the clock of another machine."""
+    registry = EndpointRegistry()
+    registry.apply_events([endpoint_list_event(discovered_endpoint("old", 7, boot_us=5))])
+    update = registry.apply_events([endpoint_list_event(discovered_endpoint("new", 7, boot_us=start_us))])
+    assert states(update) == {"old": EndpointState.DRAINING, "new": EndpointState.READY}
+
+
+def test_withheld_process_stays_withheld_while_another_is_at_its_address() -> None:
+    registry = EndpointRegistry()
+    old, new = discovered_endpoint("old", 7), discovered_endpoint("new", 7)
+    registry.apply_events([endpoint_list_event(old), endpoint_list_event(new)])
+    new_record = registry.engines["new"]
+    for is_snapshot in (False, True):
+        for entries in ((old,), (old, new), (new, old)):
+            if is_snapshot and len(entries) == 1:
+                continue
+            registry.apply_events([endpoint_list_event(*entries, is_snapshot=is_snapshot)])
+            assert not registry.engines["old"].ready
+            assert registry.engines["new"] is new_record
+            assert new_record.ready
+    gone = discovered_endpoint("new", 7, EndpointState.REMOVED)
+    registry.apply_events([endpoint_list_event(gone)])
+    assert not registry.engines["old"].ready  # nothing shows that it is there again
+    registry.apply_events([endpoint_list_event(old)])
+    assert registry.engines["old"].ready
+
+
+def test_engine_that_moves_away_frees_its_address() -> None:
+    registry = EndpointRegistry()
+    registry.apply_events([endpoint_list_event(discovered_endpoint("a", 7))])
+    registry.apply_events([endpoint_list_event(discovered_endpoint("a", 8))])
+    registry.apply_events([endpoint_list_event(discovered_endpoint("b", 7))])
+    assert registry.engines["a"].ready
+    assert registry.engines["b"].ready
