Keep a keyed retry in the scope of each process that its attempt may have reached

An attempt that is sent to an address before the list tells of a new process there may have run on the new one. Its retry was judged by the cell of the old one and could leave the true cell.

The same name and start at another address is a new process.

--- a/ashcross/decisions/engine_table.py
+++ b/ashcross/decisions/engine_table.py
@@ -11,6 +11,9 @@
 # rarer in proportion to its size.
 LARGE_FLEET = 256
 RECENT_ENGINES = 64  # number of recently used engines that are remembered in a large fleet
+MAXIMUM_ADDRESSES = (
+    4_096  # number of addresses of which the last process is remembered, also once it has gone
+)
 
 
 class EngineTable:
@@ -26,6 +29,7 @@
         # in the random order of the last review; may contain engines that are not ready any more
         self.ready: list[Engine] = []
         self._recent: dict[tuple[str, int], Engine] = {}  # by process, most recently used last
+        self._last_at: dict[str, Engine] = {}  # the last process listed at each address, latest last
 
     def is_large(self) -> bool:
         """Return whether the fleet has too many engines to review them all at each change of the list."""
@@ -51,10 +55,11 @@
             if engine is not None:
                 engine.ready = False  # `self.ready` may still contain it
             return
-        if engine is None or endpoint.boot_us != engine.endpoint.boot_us:
+        if engine is None or not _is_same_process(engine.endpoint, endpoint):
             if engine is not None:
                 engine.ready = False
             engine = self._new_engine(endpoint)  # a new process shares nothing with the former one
+            self._note_successor(engine)
         was_ready = engine.ready
         engine.endpoint = endpoint
         engine.ready = endpoint.state is EndpointState.READY
@@ -68,6 +73,18 @@
             return Engine(endpoint, cores=1, memory_mb=0)
         return Engine(endpoint, cores=kind.cores, memory_mb=kind.memory_mb)
 
+    def _note_successor(self, engine: Engine) -> None:
+        """Note which process the new one may have replaced: attempts for that one may have reached it."""
+        address = engine.endpoint.address
+        if not address:
+            return
+        former = self._last_at.pop(address, None)
+        if former is not None:
+            former.successor = engine
+        self._last_at[address] = engine
+        if len(self._last_at) > MAXIMUM_ADDRESSES:
+            del self._last_at[next(iter(self._last_at))]
+
     def refresh_ready(self) -> list[Engine]:
         """Return the ready engines in a new random order, which replaces the order so far."""
         self.ready = [engine for engine in self.by_name.values() if engine.ready]
@@ -89,3 +106,8 @@
         recent = [engine for engine in self._recent.values() if engine.ready and engine is not avoid]
         self._random.shuffle(recent)
         return recent
+
+
+def _is_same_process(known: Endpoint, listed: Endpoint) -> bool:
+    """Return whether two entries of one engine name are the same process, at the same address."""
+    return known.boot_us == listed.boot_us and known.address == listed.address
--- a/ashcross/decisions/engines.py
+++ b/ashcross/decisions/engines.py
@@ -62,6 +62,7 @@
     load: EngineLoad = field(default_factory=EngineLoad)
     health_checked_us: int = LONG_AGO_US  # start of the last health check; changed by `health_checks`
     hash_seed: int = 0  # CRC-32 of its name: unlike `hash`, the same in all dispatcher processes
+    successor: Engine | None = None  # the next process that was listed at its address; set by `engine_table`
 
     def __post_init__(self) -> None:
         """Compute the hash seed from the engine's name."""
--- a/ashcross/decisions/events.py
+++ b/ashcross/decisions/events.py
@@ -63,6 +63,7 @@
     # `boot_us` converted by the host to the clock of the events; None: not converted, `boot_us` is used
     started_us: int | None = None
     start_is_certain: bool = True  # False: the listed start time contradicts what the host observed
+    address: str = ""  # where the process listens, for comparison alone; empty if the host does not know it
 
     @property
     def start_us(self) -> int:
--- a/ashcross/decisions/scheduler.py
+++ b/ashcross/decisions/scheduler.py
@@ -80,7 +80,7 @@
         self.admission = Admission(context, self.capacity.instance_share, self.estimates, self.mpl)
         self.answers = FinalAnswers(context, self.table, self.mpl, self.capacity)
         self.review = EngineReview(context, self.engines, self.outliers, self.loads, self.capacity)
-        self.checks = SendChecks(self.ordering, self.retries, self.slow_start)
+        self.checks = SendChecks(settings, self.ordering, self.retries, self.slow_start)
         self.selection = EngineSelection(context, self.engines, self.checks, self.capacity, self.affinity)
         observers = (
             self.retries.budget,
--- a/ashcross/decisions/send_checks.py
+++ b/ashcross/decisions/send_checks.py
@@ -10,13 +10,17 @@
 from ashcross.decisions.ordering import Ordering
 from ashcross.decisions.requests import Request
 from ashcross.decisions.retries import Retries
+from ashcross.decisions.settings import SchedulerSettings
 from ashcross.decisions.slow_start import SlowStart
 
 
 class SendChecks:
     """Checks of all rules, made when an engine is chosen and again when the attempt starts."""
 
-    def __init__(self, ordering: Ordering, retries: Retries, slow_start: SlowStart) -> None:
+    def __init__(
+        self, settings: SchedulerSettings, ordering: Ordering, retries: Retries, slow_start: SlowStart
+    ) -> None:
+        self._connect_timeout_us = settings.connect_timeout_us
         self._ordering = ordering
         self._retries = retries
         self._slow_start = slow_start
@@ -38,6 +42,8 @@
         endpoint = engine.endpoint
         if not engine.ready or not placement.is_allowed(request.class_settings, endpoint):
             return False
-        if request.attempts and not placement.keeps_deduplication_scope(request, endpoint):
+        if request.attempts and not placement.keeps_deduplication_scope(
+            request, endpoint, self._connect_timeout_us
+        ):
             return False
         return self._slow_start.has_budget_for(request, engine, now)
--- a/ashcross/protocols/discovery/endpoint_list.py
+++ b/ashcross/protocols/discovery/endpoint_list.py
@@ -120,6 +120,7 @@
         state=state,
         nominal=float(weight),
         boot_us=_whole_number(item.get("since_ms") or 0) * 1000,
+        address=f"{host}:{port}",
     )
     return DiscoveredEndpoint(endpoint, host, port)
 
