--- a/ashcross/simulation/invariant_checker.py
+++ b/ashcross/simulation/invariant_checker.py
@@ -621,10 +621,13 @@
         """Return whether the dispatcher was told of this process.
 
         A process at an address that another one had may take the dispatcher by surprise, until it has been
-        told that the other has gone.
+        told that the other has gone, or of this process for longer than the grace of a drain.
         """
-        if process.announcing_event not in incarnation.event_arrival_us:
+        told_us = incarnation.event_arrival_us.get(process.announcing_event)
+        if told_us is None:
             return False
+        if self._now() - told_us > self.settings.drain_grace_ms * 1000:
+            return True
         predecessors = [
             other for other in self.processes_at.get(process.address, ()) if other.name != process.name
         ]
