Simulation lists a process at the address of one that the list still has

Change: from an amount of 0.5 on the new process is in the other cell and listed 0.5 to 4 s before the old one's end; the draws of other faults stay. Two mutants undo the two fixes, each with a kept scenario.

--- a/ashcross/simulation/mutants.py
+++ b/ashcross/simulation/mutants.py
@@ -409,6 +409,12 @@
     Mutant("bulletin-never-again", ("drain",), ((EndpointListWatch, "connection_lost", nothing),)),
     Mutant("bulletin-silence-unheard", ("drain",), ((EndpointListWatch, "poll", nothing),)),
     Mutant("reload-unheard", ("drain",), ((Service, "reload", nothing),)),
+    Mutant(
+        "gone-process-keeps-its-address",
+        ("effect", "placement", "drain"),
+        ((EndpointRegistry, "_withhold_others_at_address", nothing),),
+    ),
+    Mutant("attempt-surely-on-its-engine", ("effect",), ((EngineTable, "_note_successor", nothing),)),
     Mutant("cold-taken-for-warm", ("cold",), ((Engine, "slow_start_progress", _full_progress),)),
     Mutant("order-ignored", ("order",), ((Ordering, "is_next", _true),)),
     Mutant("order-key-not-told", ("order",), ((query_validation, "table_of", nothing),)),
--- a/ashcross/simulation/scenario.py
+++ b/ashcross/simulation/scenario.py
@@ -150,7 +150,7 @@
     "engine-erring": (1.5, "engine", 500, 5_000, 0.2, 1.0),
     "engine-full": (1.5, "engine", 300, 4_000, 0.3, 1.0),
     "engine-draining": (2.5, "engine", 600, 5_000, 0, 0),
-    "engine-replaced": (1.5, "engine", 500, 4_000, 0, 0),
+    "engine-replaced": (1.5, "engine", 500, 4_000, 0, 1),
     "engine-dark": (1.5, "engine", 500, 6_000, 0, 0),
     "engines-cold": (1.0, "fleet", 300, 2_000, 0, 0),
     "reset-new": (1.0, "engine", 500, 4_000, 0.3, 1.0),
--- a/ashcross/simulation/world.py
+++ b/ashcross/simulation/world.py
@@ -34,6 +34,7 @@
 # so that remaining resources are counted between two sweeps of the dispatchers and not during one.
 SHUTDOWN_TIME_US = 4_900_000
 ENGINE_PORT = 9_000
+OLD_STAYS_LISTED_FROM = 0.5  # amount of the fault `engine-replaced` from which the old engine stays listed
 DISCOVERY_ADDRESS = ("10.2.0.1", 8_500)
 
 
@@ -615,28 +616,34 @@
         return True
 
     def _engine_replaced(self, fault: Fault, random_source: random.Random) -> bool:
-        """Kill an engine and start another, of a kind drawn at random, at the same address."""
+        """Kill an engine and start another, of a kind drawn at random, at the same address.
+
+        With an amount of 0.5 or more the new one is in another cell, and it is listed long before the list
+        says that the old one has gone.
+        """
         engine = self._target_engine(fault)
         if engine is None:
             return False
         old_process = engine.process
         engine.kill()
         kind, name = random_source.choice(ENGINE_KINDS), f"n{self._engines_started}"
-        cores = self._cores_of(kind)
+        old_stays_listed = fault.amount >= OLD_STAYS_LISTED_FROM
         successor = self.start_engine(
             name,
             kind,
             old_process.zone,
-            old_process.cell,
-            cores,
+            (old_process.cell + 1) % 2 if old_stays_listed else old_process.cell,
+            self._cores_of(kind),
             self.timeline.now_us,
             old_process.address[0],
         )
-        self.timeline.after(
-            min(fault.for_ms, 2_000) * 1000,
-            self.discovery.publish,
-            [(old_process, "Gone"), (successor.process, "Ready")],
-        )
+        gone, ready = (old_process, "Gone"), (successor.process, "Ready")
+        if old_stays_listed:
+            listed_us = random_source.randrange(20_000, 1_000_000)
+            self.timeline.after(listed_us, self.discovery.publish, [ready])
+            self.timeline.after(listed_us + fault.for_ms * 1000, self.discovery.publish, [gone])
+        else:
+            self.timeline.after(min(fault.for_ms, 2_000) * 1000, self.discovery.publish, [gone, ready])
         return True
 
     def _engines_cold(self, fault: Fault, random_source: random.Random) -> bool:
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -194,6 +194,8 @@
 
 # The mutant that each kept script was shrunk from, and the rule that it breaks with that mutant.
 MUTANT_AND_RULE = {
+    "attempt-on-the-next-process": ("attempt-surely-on-its-engine", "effect"),
+    "gone-process-keeps-its-address": ("gone-process-keeps-its-address", "placement"),
     "clock-set-back": ("clock-follows-steps", "answered"),
     "cold-taken-for-warm": ("cold-taken-for-warm", "cold"),
     "descriptors-run-out": ("accepts-unbounded", "bounds"),
