Close a connection whose incomplete call is given up, and choose it with care

Cause: when half requests used up the pooled buffers, check_pooled_buffers dropped the largest incomplete call, a usual client's, and kept its connection open for its open request; what was then written whole there was ignored.

Evidence: the log has `no further calls accepted: reason=incomplete calls over their limit` with that connection's first request, before the second piece was sent.

Change: what waits in the kernel is read first; then the connection is closed at once and its open requests are answered as failed. Connections without open requests come first, then those that never sent a whole call, then those with most buffers, then the one used longest ago. While a connection is open, every whole call is answered.

--- a/ashcross/protocols/clients/connection.py
+++ b/ashcross/protocols/clients/connection.py
@@ -60,6 +60,11 @@
         """Return whether the connection rejects further calls and closes once no request is open."""
         return self._calls.is_closing
 
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the bytes that wait in the kernel are being read now."""
+        return self._input.is_draining
+
     def connectionMade(self) -> None:
         """Set up the transport of a client that has connected."""
         self.transport.setTcpNoDelay(True)
--- a/ashcross/protocols/clients/connection_manager.py
+++ b/ashcross/protocols/clients/connection_manager.py
@@ -51,6 +51,7 @@
         self._max_lingering = limits.max_lingering
         self._port: Any = None  # Twisted's listening port
         self._is_accepting = False
+        self._is_checking_buffers = False
         self._accepted_count = 0
 
     def accept_from(self, port: Any) -> None:
@@ -167,12 +168,57 @@
         slowest.abort()
 
     def check_pooled_buffers(self) -> None:
-        """Close connections with the most incomplete bytes while the pooled buffers exceed their limit."""
+        """Close connections with an incomplete call while the pooled buffers exceed their limit.
+
+        The rest of a call is read before its connection is closed: a call that is complete is owed an answer.
+        """
+        if self._is_checking_buffers:  # reading the rest of a call leads here again
+            return
+        self._is_checking_buffers = True
+        try:
+            self._close_incomplete()
+        finally:
+            self._is_checking_buffers = False
+
+    def _close_incomplete(self) -> None:
+        already_read: set[ClientConnection] = set()
         while self.pool.lent > self.limits.max_pooled_buffers:
-            largest = max(self.connections, key=lambda connection: connection.reader.waiting, default=None)
-            if largest is None or not largest.reader.waiting:
+            connection = self._choose_incomplete()
+            if connection is None:
                 return  # the buffers hold incomplete messages of engines or of discovery
-            largest.stop_accepting(CloseReason.INCOMPLETE_CALLS, is_framed=False)
+            if connection not in already_read:
+                already_read.add(connection)
+                if _completes_call(connection):
+                    continue
+            rate_limited_log.warn(
+                "client",
+                f"connection closed: reason={CloseReason.INCOMPLETE_CALLS} "
+                f"incomplete_bytes={connection.reader.waiting} "
+                f"failed={connection.open_request_ids() or 'none'}",
+            )
+            # at once: while the connection is open, a call that becomes complete is owed an answer
+            connection.evict(CloseReason.INCOMPLETE_CALLS)
+
+    def _choose_incomplete(self) -> ClientConnection | None:
+        """Return the connection whose incomplete call is given up; None if no call is incomplete.
+
+        Its open requests would fail, so one without any comes first; then one that never sent a complete
+        call; then the one that holds the most buffers; then the one that was used longest ago.
+        """
+        incomplete = (
+            connection
+            for connection in self.connections
+            if connection.reader.waiting and not connection.is_draining
+        )
+        return min(
+            incomplete,
+            key=lambda connection: (
+                len(connection.open_requests),
+                connection.call_count > 0,
+                -connection.reader.buffer_count,
+            ),
+            default=None,
+        )
 
     # Called by the service
 
@@ -203,3 +249,10 @@
     def all_answers_sent(self) -> bool:
         """Return whether every client that still reads has been sent its answers."""
         return not self.unsent_bytes
+
+
+def _completes_call(connection: ClientConnection) -> bool:
+    """Read the bytes that wait in the kernel; return whether they completed the incomplete call."""
+    calls_before = connection.call_count
+    connection.drain_input()
+    return connection.call_count != calls_before or not connection.reader.waiting
--- a/ashcross/protocols/framing.py
+++ b/ashcross/protocols/framing.py
@@ -72,6 +72,11 @@
         """The number of bytes of the incomplete message."""
         return len(self._pending)
 
+    @property
+    def buffer_count(self) -> int:
+        """The number of buffers that hold the incomplete message."""
+        return self._pending.buffer_count
+
     def close(self) -> None:
         """Return the buffers to the pool, as the connection is closed."""
         self._pending.clear()
--- a/ashcross/registry/buffers.py
+++ b/ashcross/registry/buffers.py
@@ -45,6 +45,11 @@
         """Return the number of bytes in the chain."""
         return self._length
 
+    @property
+    def buffer_count(self) -> int:
+        """The number of buffers that hold the bytes."""
+        return len(self._buffers)
+
     def append(self, data: bytes) -> None:
         """Copy bytes to the end of the chain."""
         size = self._pool.size
--- a/tests/protocols/clients/test_connection_manager.py
+++ b/tests/protocols/clients/test_connection_manager.py
@@ -86,6 +86,67 @@
     assert len(bed.scheduler.of(RequestReceived)) == 1
 
 
+HALF_CALL = b"Content-Length: 1900\r\n\r\n" + b" " * 40  # in one buffer of 64 bytes
+
+
+def test_call_in_two_pieces_is_answered_while_others_fill_the_buffers() -> None:
+    """Guards against a lost request: its half was dropped on a connection that stayed open."""
+    bed = ClientBed(max_pooled_buffers=8, max_connections=30)
+    usual, usual_transport = bed.connect()
+    second = query_call(2, "b" * 16)
+    usual.dataReceived(query_call(1, "a" * 16) + second[: len(second) // 2])
+    bad = [bed.connect() for _ in range(12)]
+    for connection, _ in bad:
+        connection.dataReceived(HALF_CALL)
+    assert bed.clients.pool.lent <= 8
+    assert sum(transport.lost for _, transport in bad) >= 12 - 8
+    assert not usual_transport.lost
+    usual.dataReceived(second[len(second) // 2 :])
+    bed.run()
+    assert sorted(usual.open_requests) == [1, 2]
+    assert len(bed.scheduler.of(RequestReceived)) == 2
+
+
+def test_connection_that_gives_up_an_incomplete_call_is_closed_at_once() -> None:
+    """Guards against a lost request: a call that becomes complete on an open connection is owed an answer."""
+    bed = ClientBed(max_pooled_buffers=8, max_connections=30)
+    connections = [bed.connect() for _ in range(12)]
+    for number, (connection, _) in enumerate(connections):
+        connection.dataReceived(query_call(1, f"{number:016x}") + HALF_CALL)
+    assert bed.clients.pool.lent <= 8
+    closed = [number for number, (_, transport) in enumerate(connections) if transport.is_write_closed]
+    assert closed == [0, 1, 2, 3]  # each holds one buffer and has one request: those used longest ago
+    for number, (connection, transport) in enumerate(connections):
+        answers = [(answer.call_id, answer.code) for answer in read_answers(transport)]
+        assert answers == ([(1, json_rpc.FAILED)] if number in closed else [])
+        assert bool(connection.reader.waiting) is (number not in closed)
+
+
+def test_call_whose_rest_waits_in_the_kernel_is_not_given_up() -> None:
+    bed = ClientBed(max_pooled_buffers=8, max_connections=30)
+    call = query_call(1, "a" * 16)
+    usual, usual_transport = bed.connect()
+    usual.dataReceived(call[:100])
+    usual_transport.unread.append(call[100:])
+    for _ in range(6):
+        bed.connect()[0].dataReceived(HALF_CALL)
+    assert bed.clients.pool.lent > 0
+    bed.connect()[0].dataReceived(HALF_CALL)
+    assert not usual_transport.lost
+    assert list(usual.open_requests) == [1]
+
+
+def test_incomplete_calls_of_connections_without_calls_are_given_up_first() -> None:
+    bed = ClientBed(max_pooled_buffers=4, max_connections=30)
+    idle, idle_transport = bed.connect()
+    idle.dataReceived(json_rpc.call("ping", 1, {}) + query_call(2)[:120])  # two buffers
+    silent = [bed.connect() for _ in range(4)]
+    for connection, _ in silent:
+        connection.dataReceived(HALF_CALL)
+    assert [transport.lost for _, transport in silent] == [True, True, False, False]
+    assert not idle_transport.lost
+
+
 def test_connections_are_limited_and_idle_ones_are_evicted() -> None:
     bed = ClientBed()
     connections = [bed.connect() for _ in range(3)]
