Simulation fills the buffers for incomplete calls with half calls

Change: fault client-halves, drawn apart for a tenth of the seeds, so that other draws stay, with pairs of requests on one connection, the second in two pieces while the first is open; mutant half-a-call-dropped, which undoes the fix, with a kept scenario.

--- a/ashcross/simulation/clients.py
+++ b/ashcross/simulation/clients.py
@@ -385,3 +385,20 @@
                 end.close()
 
         self._timeline.after(for_us, close_all)
+
+    def open_half_calls(self, incarnation: Incarnation, count: int, for_us: int) -> None:
+        """Open connections that send half a call each, and close them after `for_us`."""
+        call = encode_call(self._settings.classes[0].name, 1, {"txn": "0" * 16, "body": "x" * 1_000})
+
+        def send_half(end: End) -> None:
+            if end.connected and end not in started:
+                started[end] = BufferedWriter(end)
+                started[end].write(call[: len(call) // 2])
+
+        def close_all() -> None:
+            for end in ends:
+                end.close()
+
+        started: dict[End, BufferedWriter] = {}
+        ends = [self._network.connect("10.3.7.7", incarnation.address, send_half) for _ in range(count)]
+        self._timeline.after(for_us, close_all)
--- a/ashcross/simulation/mutants.py
+++ b/ashcross/simulation/mutants.py
@@ -29,6 +29,7 @@
 from ashcross.dispatcher.requests import RequestLifecycle
 from ashcross.protocols.clients import json_rpc, query_validation
 from ashcross.protocols.clients.call_handler import CallHandler
+from ashcross.protocols.clients.close_reason import CloseReason
 from ashcross.protocols.clients.connection import ClientConnection
 from ashcross.protocols.clients.connection_manager import ClientConnectionManager
 from ashcross.protocols.discovery.watch import EndpointListWatch
@@ -295,6 +296,15 @@
     return run
 
 
+def _drop_largest_incomplete_call(manager: Any) -> None:
+    """Drop incomplete calls until the buffers suffice, and leave connections with open requests open."""
+    while manager.pool.lent > manager.limits.max_pooled_buffers:
+        largest = max(manager.connections, key=lambda connection: connection.reader.waiting, default=None)
+        if largest is None or not largest.reader.waiting:
+            return
+        largest.stop_accepting(CloseReason.INCOMPLETE_CALLS, is_framed=False)
+
+
 class _SteppingClock(Clock):
     """A clock that follows the wall clock, also when that is set."""
 
@@ -351,6 +361,11 @@
     Mutant(
         "ends-with-open-requests", ("answered",), (swap(Shutdown, "_advance", _leave_requests_unanswered),)
     ),
+    Mutant(
+        "half-a-call-dropped",
+        ("answered",),
+        ((ClientConnectionManager, "check_pooled_buffers", _drop_largest_incomplete_call),),
+    ),
     Mutant("silent-clients-stay", ("answered",), ((ClientConnection, "sweep", nothing),)),
     Mutant("clock-follows-steps", ("answered", "drain", "left"), ((world, "Clock", _SteppingClock),)),
     Mutant(
--- a/ashcross/simulation/scenario.py
+++ b/ashcross/simulation/scenario.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Iterator
+from itertools import product
 from pathlib import Path
 from typing import Any
 
@@ -172,6 +173,7 @@
     "client-flood": (1.0, "dispatcher", 1, 1, 20, 120),
     "client-rude": (1.0, "dispatcher", 1, 1, 0, 8),
     "client-crowd": (1.0, "dispatcher", 500, 2_500, 20, 400),
+    "client-halves": (0.0, "dispatcher", 500, 2_500, 60, 400),  # drawn apart, see `_half_call_faults`
     "clock-step": (0.8, "dispatcher", 1, 1, -4_000, 4_000),
     "dispatcher-killed": (1.5, "dispatcher", 200, 3_000, 0, 0),
     "dispatcher-paused": (1.5, "dispatcher", 20, 1_200, 0, 0),
@@ -181,6 +183,8 @@
 }
 
 
+HALF_CALLS_SHARE = 0.1  # share of the seeds with the fault `client-halves`
+
 # Fault kind -> a second kind that may be drawn along with it, because some failures show only when two faults
 # overlap: a drain that discovery cannot announce, or a burst of queries that meets cold engines.
 COMPANIONS = {
@@ -216,6 +220,8 @@
     traffic_ms = 8_000
     requests = _requests(next(streams), settings, traffic_ms)
     faults = list(_faults(next(streams), settings, traffic_ms, seed))
+    faults += _half_call_faults(settings, traffic_ms, seed)
+    requests += _requests_in_pieces(faults, settings)
     requests += _requests_at_drain_grace_end(next(streams), faults, settings)
     requests.sort(key=lambda request: request.at_ms)
     longest_ms = max(spec.give_up_ms for spec in settings.classes)
@@ -365,6 +371,33 @@
             yield companion
 
 
+def _half_call_faults(settings: Settings, traffic_ms: int, seed: int) -> list[Fault]:
+    """Return clients that send half a call each, for some seeds; other draws stay as they are."""
+    rng = random.Random(f"{seed}/half-calls")
+    if rng.random() >= HALF_CALLS_SHARE:
+        return []
+    return [draw_fault(rng, "client-halves", settings, traffic_ms)]
+
+
+def _requests_in_pieces(faults: list[Fault], settings: Settings) -> list[Request]:
+    """Return pairs of requests on one connection, the second in two pieces while the first is open.
+
+    They meet clients that use up the buffers for incomplete calls.
+    """
+    requests = []
+    for fault in faults:
+        if fault.kind != "client-halves":
+            continue
+        target = fault.target % settings.dispatchers
+        for at_ms, client in product((fault.at_ms + 100, fault.at_ms + 300), range(3)):
+            first = Request(at_ms, client, target, 0, work_ms=400, limit_ms=1_500)
+            second = Request(
+                at_ms + 20, client, target, 0, 20, pad=3_000, limit_ms=1_500, way="half", way_ms=300
+            )
+            requests += [first, second]
+    return requests
+
+
 def draw_fault(rng: random.Random, kind: str, settings: Settings, traffic_ms: int) -> Fault:
     """Draw one fault of a kind, with its start, duration, target and amount."""
     _, target_type, shortest_ms, longest_ms, least, most = KINDS[kind]
--- a/ashcross/simulation/world.py
+++ b/ashcross/simulation/world.py
@@ -738,6 +738,13 @@
         self.clients.open_idle_connections(incarnation, int(fault.amount), fault.for_ms * 1000)
         return True
 
+    def _client_halves(self, fault: Fault, random_source: random.Random) -> bool:
+        incarnation = self._target_dispatcher(fault).incarnation
+        if incarnation is None or incarnation.ended_by:
+            return False
+        self.clients.open_half_calls(incarnation, int(fault.amount), fault.for_ms * 1000)
+        return True
+
     def _clock_step(self, fault: Fault, random_source: random.Random) -> bool:
         self._target_dispatcher(fault).clock_step_us += int(fault.amount * 1000)
         return True
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -196,6 +196,7 @@
 MUTANT_AND_RULE = {
     "attempt-on-the-next-process": ("attempt-surely-on-its-engine", "effect"),
     "gone-process-keeps-its-address": ("gone-process-keeps-its-address", "placement"),
+    "half-a-call-dropped": ("half-a-call-dropped", "answered"),
     "clock-set-back": ("clock-follows-steps", "answered"),
     "cold-taken-for-warm": ("cold-taken-for-warm", "cold"),
     "descriptors-run-out": ("accepts-unbounded", "bounds"),
