Simulation keeps the order of what was under way when a direction was cut

Trace: the PULL is sent at 1007.105 ms, the direction is cut at 1007.106, the KILL is sent at 1007.106623; at the end of the cut the KILL comes first.

Cause: what was sent during a cut waited from its sending on, what was under way from its arrival on, and both were delivered in the order of waiting. No network does that.

Change: what is under way has its number, and a direction that opens delivers by these.

--- a/ashcross/simulation/network.py
+++ b/ashcross/simulation/network.py
@@ -14,6 +14,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 Address = tuple[str, int]
@@ -52,17 +53,35 @@
         """Report that the other side's close has arrived at this end's host."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Carried:
+    """Something that is under way in a direction; `call(argument)` lets it arrive."""
+
+    number: int  # in the order of sending
+    call: Callable[..., Any]
+    argument: Any
+
+
 class Direction:
     """One direction of a connection: its latency, segments and cuts."""
 
-    __slots__ = ("_random", "held", "jitter_us", "last_arrival_us", "latency_us", "segment_bytes", "waiting")
+    __slots__ = (
+        "_random",
+        "carried_count",
+        "held",
+        "jitter_us",
+        "last_arrival_us",
+        "latency_us",
+        "segment_bytes",
+        "waiting",
+    )
 
     def __init__(self, seed: int, latency_us: int, jitter_us: int, segment_bytes: int) -> None:
         self._random = random.Random(seed)
         self.latency_us, self.jitter_us, self.segment_bytes = latency_us, jitter_us, segment_bytes
-        self.held, self.last_arrival_us = False, 0
-        # Arrivals that wait until the direction is open again, in order.
-        self.waiting: list[tuple[Callable[..., Any], Any]] = []
+        self.held, self.last_arrival_us, self.carried_count = False, 0, 0
+        # What waits until the direction is open again, in the order of arriving at the cut.
+        self.waiting: list[_Carried] = []
 
     def segments(self, data: bytes) -> Iterator[bytes]:
         """Yield the bytes as one segment, or in random sizes around `segment_bytes`.
@@ -259,29 +278,29 @@
 
     def carry(self, direction: Direction, call: Callable[..., Any], argument: Any) -> None:
         """Let something arrive at the end of a direction, in order."""
+        direction.carried_count += 1
+        item = _Carried(direction.carried_count, call, argument)
         if direction.held:
-            direction.waiting.append((call, argument))
+            direction.waiting.append(item)
         else:
-            self.timeline.at(
-                direction.next_arrival_us(self.timeline.now_us), self._arrive, direction, call, argument
-            )
+            self.timeline.at(direction.next_arrival_us(self.timeline.now_us), self._arrive, direction, item)
 
-    def _arrive(self, direction: Direction, call: Callable[..., Any], argument: Any) -> None:
+    def _arrive(self, direction: Direction, item: _Carried) -> None:
         if direction.held:  # the direction was cut while this was under way
-            direction.waiting.append((call, argument))
+            direction.waiting.append(item)
         else:
-            call(argument)
+            item.call(item.argument)
 
     def hold(self, end: End, held: bool) -> None:
-        """Cut the direction from `end` to its peer, or open it again: what was held arrives then."""
+        """Cut the direction from `end` to its peer, or open it again: what was held arrives in order."""
         direction = end.direction
         if direction.held == held:
             return
         direction.held = held
         if not held:
             waiting, direction.waiting = direction.waiting, []
-            for call, argument in waiting:
-                self.carry(direction, call, argument)
+            for item in sorted(waiting, key=lambda item: item.number):
+                self.carry(direction, item.call, item.argument)
 
     def set_unreachable(self, address: Address, unreachable: bool) -> None:
         """Take a machine off the network or bring it back; connections to it stay open and silent."""
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -120,6 +120,19 @@
     assert pair.peer.read() == b"lost?"
 
 
+def test_held_direction_keeps_the_order_of_what_was_under_way_at_the_cut() -> None:
+    """Seed 3870: a cut brought a KILL before the rest of its PULL, which no network does."""
+    pair = Pair()
+    pair.end.send(b"first ")
+    pair.network.hold(pair.end, True)
+    pair.end.send(b"second ")
+    pair.pass_ms(5)
+    pair.network.hold(pair.end, False)
+    pair.end.send(b"third")
+    pair.pass_ms(5)
+    assert pair.peer.read() == b"first second third"
+
+
 def test_close_with_unread_bytes_resets_and_peer_can_still_read() -> None:
     pair = Pair()
     pair.end.send(b"unread")
