--- a/ashcross/protocols/clients/connection.py
+++ b/ashcross/protocols/clients/connection.py
@@ -37,7 +37,7 @@
         self._host = owner.host
         self.reader = json_rpc.BodyReader(owner.pool, owner.limits.max_body_bytes)
         self.flood_control = FloodControl(owner.limits, owner.host.clock, owner.call_later, owner.hold_offs)
-        self.input = InputReader(self.flood_control, owner.host, self._client_disconnected)
+        self._input = InputReader(self.flood_control, owner.host, self._client_disconnected)
         self._calls = CallHandler(self, owner, self.flood_control)
         self.call_count = 0
         self.last_used_us = owner.host.clock()
@@ -60,6 +60,11 @@
         """Return whether the connection rejects further calls and closes once no request is open."""
         return self._calls.is_closing
 
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the bytes that wait in the kernel are being read now."""
+        return self._input.is_draining
+
     def connectionMade(self) -> None:
         """Set up the transport of a client that has connected."""
         self.transport.setTcpNoDelay(True)
@@ -67,7 +72,7 @@
         # Twisted calls the producer methods when the buffer of unsent bytes fills, and when it is empty again
         self.transport.registerProducer(self, True)
         self.flood_control.attach(self.transport)
-        self.input.attach(self.transport)
+        self._input.attach(self.transport)
         self._owner.connection_made(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -110,7 +115,7 @@
         self._stop_reading_calls()
         self._owner.connection_closed(self)
         self.transport.unregisterProducer()
-        self._send_fin()
+        self.transport.loseWriteConnection()
         if self.flood_control.is_paused:
             self.transport.resumeProducing()  # only reading reveals the client's close
         self._owner.start_lingering(self)
@@ -118,10 +123,6 @@
     def _peer_port(self) -> str:
         return str(getattr(self.transport.getPeer(), "port", "")) if audit.detailed else ""
 
-    def _send_fin(self) -> None:
-        self.transport.loseWriteConnection()
-        self.transport.doWrite()  # now: a call that is read before the FIN leaves has not crossed it
-
     def open_request_ids(self) -> list[str]:
         """Return the ids of the open requests."""
         return [request.request_id for request in self.open_requests.values()]
@@ -155,7 +156,7 @@
 
     def _half_close_if_done(self, reason: CloseReason) -> None:
         """Close once no request is open and the calls that wait in the kernel have their answers too."""
-        if not self.is_closing or self.input.is_parsing or self.input.is_draining:
+        if not self.is_closing or self._input.is_parsing or self._input.is_draining:
             return
         if self._is_framed and not self.open_requests:
             self.drain_input()
@@ -167,21 +168,21 @@
         self._calls.is_closing = True
         # Nothing is drained here. The flag only suppresses reading: the answers to the open requests would
         # otherwise lead to a read of further calls.
-        self.input.is_draining = True
+        self._input.is_draining = True
         for request in list(self.open_requests.values()):
             self._host.evict(request)
         self.half_close(reason)
-        self.input.is_draining = False  # bytes read from now on are discarded
+        self._input.is_draining = False  # bytes read from now on are discarded
 
     def dataReceived(self, data: bytes) -> None:
         """Handle received calls; bytes that cannot be parsed close only this connection."""
-        self.input.read_count += 1
+        self._input.read_count += 1
         if self._is_closed or self.is_closing:
             self._count_discarded_bytes(len(data))
         if self._is_closed or not self._is_framed:
             return
-        arrived_us = self.input.earliest_arrival_us()
-        self.input.is_parsing = True
+        arrived_us = self._input.earliest_arrival_us()
+        self._input.is_parsing = True
         try:
             self._handle_calls(data, arrived_us)
         except FramingError as error:  # the byte at which the next call begins cannot be known any more
@@ -190,7 +191,7 @@
             )
             self.stop_accepting(CloseReason.FRAMING_ERROR, is_framed=False)
         finally:
-            self.input.is_parsing = False
+            self._input.is_parsing = False
         self._half_close_if_done(CloseReason.PROTOCOL_VIOLATION)
         if not self._is_closed:
             self._owner.check_pooled_buffers()
@@ -200,8 +201,8 @@
     def _control_flood(self) -> None:
         if self.flood_control.hold_off_if_due():
             return
-        if self.flood_control.not_read_since_us is not None and not self.input.is_draining:
-            self._owner.call_later(0, self.input.read_after_pause)
+        if self.flood_control.not_read_since_us is not None and not self._input.is_draining:
+            self._owner.call_later(0, self._input.read_after_pause)
 
     def _count_discarded_bytes(self, size: int) -> None:
         """Count bytes read after a close or a protocol violation; end the connection over the limit."""
@@ -219,7 +220,7 @@
         Return False if there are too many to read now. Called before a decision on the connection, so that
         it is not closed over an unread call and no work begins for a client that has disconnected.
         """
-        return self.input.drain(until_empty)
+        return self._input.drain(until_empty)
 
     def pauseProducing(self) -> None:
         """Note that the client does not read; reading from it goes on, as only that reveals its close.
--- a/ashcross/protocols/clients/connection_manager.py
+++ b/ashcross/protocols/clients/connection_manager.py
@@ -208,7 +208,7 @@
         incomplete = (
             connection
             for connection in self.connections
-            if connection.reader.waiting and not connection.input.is_draining
+            if connection.reader.waiting and not connection.is_draining
         )
         return min(
             incomplete,
