Checker: a new connection may be closed over an unread first request alone

The checker allowed that the first request on a connection ends without an answer, also if it was read. The acceptance terms say that a request which was read and then closed with no answer is lost, on new connections too; STANDING lets new connections be shut unread.

Change: the exception holds only while bytes are unread at the close.

--- a/ashcross/simulation/invariant_checker.py
+++ b/ashcross/simulation/invariant_checker.py
@@ -495,7 +495,8 @@
             client_unavailable = peer is not None and (
                 peer.closed or request.client.stalled(peer, request.arrived_us)
             )
-            if not (close_crossed or client_unavailable or number == 0 and unanswered_so_far):
+            is_new_and_unread = number == 0 and unanswered_so_far and bool(end.received)
+            if not (close_crossed or client_unavailable or is_new_and_unread):
                 self.report_violation(
                     "answered",
                     f"{stream.incarnation.name} closed the connection of {request.request_id} "
