Withhold engines that an event behind a gap shows to be replaced

An event behind a gap has been told, but is applied only after the whole list was read again (up to 1 s). Engines that it shows to drain were withheld at once; one whose address it gives to another process, or that it lists as another process, was not.

Change: the entries of such an event are delivered at once, also those that are ready; the registry withholds known engines that are another process by them. Events of a replay that were delivered before still tell only which engines are not ready.

test_invalid_event_or_gap_requests_the_whole_list expects the exact deliveries as before, with the one that its event 9 brings now.

--- a/ashcross/protocols/discovery/event_sequence.py
+++ b/ashcross/protocols/discovery/event_sequence.py
@@ -11,7 +11,7 @@
 
 from ashcross.decisions.events import EndpointState
 from ashcross.logs import rate_limited_log
-from ashcross.registry.endpoint_registry import EndpointListEvent
+from ashcross.registry.endpoint_registry import DiscoveredEndpoint, EndpointListEvent
 
 
 class EventSequence:
@@ -63,7 +63,7 @@
                     f"last_event={self.last_event_number}",
                 )
                 self._needs_whole_list = True
-                self._deliver_withheld(event)
+                self._deliver_withheld(event, event.endpoints)
                 return False
         self.last_event_number = event.event_number
         if unconfirmed_us is not None:
@@ -71,21 +71,22 @@
         self._pending.append(event)
         if event.event_number >= self._replay_until:
             self.release()
-        else:
-            self._deliver_withheld(event)
+        else:  # an event that was delivered before: which engines were ready then is out of date
+            not_ready = (
+                entry for entry in event.endpoints if entry.endpoint.state is not EndpointState.READY
+            )
+            self._deliver_withheld(event, tuple(not_ready))
         return True
 
-    def _deliver_withheld(self, event: EndpointListEvent) -> None:
-        """Deliver at once which engines of a held or dropped event are not ready, so that no drain is hidden.
+    def _deliver_withheld(self, event: EndpointListEvent, entries: tuple[DiscoveredEndpoint, ...]) -> None:
+        """Deliver at once which engines get no new attempts by a held or dropped event.
 
-        These engines get no new attempts from now on; later states of theirs are delivered with the replay.
+        No drain is hidden so, and no other process at the address of an engine. Later states of these engines
+        are delivered with the replay.
         """
-        withheld = tuple(
-            entry for entry in event.endpoints if entry.endpoint.state is not EndpointState.READY
-        )
-        if withheld:
+        if entries:
             self._deliver(
-                EndpointListEvent(self._delivered_number, event.version, False, withheld, withheld_only=True)
+                EndpointListEvent(self._delivered_number, event.version, False, entries, withheld_only=True)
             )
 
     def release(self) -> None:
--- a/ashcross/registry/endpoint_registry.py
+++ b/ashcross/registry/endpoint_registry.py
@@ -38,7 +38,8 @@
     is_snapshot: bool
     endpoints: tuple[DiscoveredEndpoint, ...]
     unconfirmed_us: int | None = None  # how long ago the complete list was known without this event
-    # delivered before the events that precede it: names known engines that take no new attempt
+    # delivered before the events that precede it: known engines that are not ready in it, or where it lists
+    # another process, take no new attempt
     withheld_only: bool = False
 
 
@@ -160,7 +161,7 @@
                 self._remove_unlisted(event)
             for discovered in event.endpoints:
                 if event.withheld_only or discovered.unreadable:
-                    self._withhold(discovered.endpoint.name, changed)
+                    self._withhold_listed(discovered, changed)
                 else:
                     self._apply(discovered, event.unconfirmed_us, changed)
         if kind is EndpointListKind.CACHED:
@@ -226,6 +227,17 @@
         )
         self._withhold(gone.name, changed)
 
+    def _withhold_listed(self, discovered: DiscoveredEndpoint, changed: dict[str, Endpoint]) -> None:
+        """Withhold the engines that an entry shows not to be ready or to be replaced, without applying it."""
+        endpoint = discovered.endpoint
+        if discovered.unreadable or endpoint.state is not EndpointState.READY:
+            self._withhold(endpoint.name, changed)
+            return
+        listening = self._listening.get((discovered.host, discovered.port))
+        for record in (self.engines.get(endpoint.name), listening):
+            if record is not None and not _is_same_process(record, discovered, endpoint):
+                self._withhold(record.name, changed)
+
     def _withhold(self, name: str, changed: dict[str, Endpoint]) -> None:
         """Mark a known engine as draining, so that it gets nothing new; a later event gives its state."""
         record = self.engines.get(name)
@@ -257,7 +269,8 @@
 
 def _is_same_process(record: EngineRecord, discovered: DiscoveredEndpoint, endpoint: Endpoint) -> bool:
     return (
-        record.host == discovered.host
+        record.name == endpoint.name
+        and record.host == discovered.host
         and record.port == discovered.port
         and record.boot_us == endpoint.boot_us
     )
--- a/tests/protocols/discovery/test_event_sequence.py
+++ b/tests/protocols/discovery/test_event_sequence.py
@@ -23,8 +23,10 @@
     assert bed.event_numbers() == [4, 5, 6]
 
 
-@pytest.mark.parametrize("invalid_event", [b"data: {}\n\n", b"data: x\n\n", event_bytes(9)])
-def test_invalid_event_or_gap_requests_the_whole_list(invalid_event: bytes) -> None:
+@pytest.mark.parametrize(
+    ("invalid_event", "withheld"), [(b"data: {}\n\n", []), (b"data: x\n\n", []), (event_bytes(9), [4])]
+)
+def test_invalid_event_or_gap_requests_the_whole_list(invalid_event: bytes, withheld: list[int]) -> None:
     bed = WatchBed()
     connection, transport, _ = bed.connect()
     connection.dataReceived(event_bytes(4))
@@ -35,9 +37,9 @@
     connection, _, last_event = bed.connect()
     assert last_event == 0
     connection.dataReceived(event_bytes(1, is_snapshot=True) + event_bytes(2) + event_bytes(3))
-    assert bed.event_numbers() == [4]
+    assert bed.event_numbers() == [4, *withheld]
     connection.dataReceived(event_bytes(4) + event_bytes(5))
-    assert bed.event_numbers() == [4, 1, 2, 3, 4, 5]
+    assert bed.event_numbers() == [4, *withheld, 1, 2, 3, 4, 5]
     connection.dataReceived(event_bytes(6))
     assert bed.event_numbers()[-1] == 6
 
@@ -109,3 +111,12 @@
         event_bytes(1, is_snapshot=True, name="e1") + event_bytes(2, name="e2", status="Gone")
     )
     assert [event.withheld_only for event in bed.events] == [False, True, True]
+
+
+def test_event_behind_a_gap_delivers_new_processes_at_once() -> None:
+    """Guards against sends to an address that another process has got while the whole list is requested."""
+    bed = WatchBed()
+    connection, _, _ = bed.connect()
+    connection.dataReceived(event_bytes(4, name="e1") + event_bytes(9, name="e2"))
+    assert [event.withheld_only for event in bed.events] == [False, True]
+    assert [entry.endpoint.name for entry in bed.events[-1].endpoints] == ["e2"]
--- a/tests/registry/test_endpoint_registry.py
+++ b/tests/registry/test_endpoint_registry.py
@@ -181,3 +181,20 @@
     registry.apply_events([endpoint_list_event(discovered_endpoint("b", 7))])
     assert registry.engines["a"].ready
     assert registry.engines["b"].ready
+
+
+@pytest.mark.parametrize(
+    "entry", [("a", 8, 0), ("a", 7, 5), ("b", 7, 0)], ids=["moved", "restarted", "other"]
+)
+def test_event_behind_a_gap_withholds_a_process_that_it_replaces(entry: tuple[str, int, int]) -> None:
+    """Guards against sends to a new process by the old one's entry while the whole list is requested."""
+    name, port, start_us = entry
+    registry = EndpointRegistry()
+    registry.apply_events([endpoint_list_event(discovered_endpoint("a", 7), discovered_endpoint("c", 9))])
+    listed = discovered_endpoint(name, port, boot_us=start_us)
+    update = registry.apply_events([EndpointListEvent(9, 9, False, (listed,), withheld_only=True)])
+    assert states(update) == {"a": EndpointState.DRAINING}
+    assert sorted(registry.engines) == ["a", "c"]
+    same = EndpointListEvent(9, 9, False, (discovered_endpoint("c", 9),), withheld_only=True)
+    assert states(registry.apply_events([same])) == {}
+    assert registry.engines["c"].ready
