--- a/ashcross/decisions/engine_table.py
+++ b/ashcross/decisions/engine_table.py
@@ -11,9 +11,7 @@
 # rarer in proportion to its size.
 LARGE_FLEET = 256
 RECENT_ENGINES = 64  # number of recently used engines that are remembered in a large fleet
-MAXIMUM_ADDRESSES = (
-    4_096  # number of addresses of which the last process is remembered, also once it has gone
-)
+MAXIMUM_ADDRESSES = 4_096  # number of addresses whose last process is remembered, also once it has gone
 
 
 class EngineTable:
