Cancel the linger timeout of a client connection that has closed

Cause: with 64 buffers and 300 clients that send half a request again and again, thousands of connections a second are closed; each closed one was held by its delayed call until its linger timeout of 0.5 s was over.

Change: the delayed call is kept with the lingering connection and cancelled with it.

--- a/ashcross/protocols/clients/connection_manager.py
+++ b/ashcross/protocols/clients/connection_manager.py
@@ -45,7 +45,8 @@
         self.hold_offs = HoldOffCount()
         self.unsent_bytes = 0
         self.connections: dict[ClientConnection, None] = {}  # least recently used first
-        self.lingering: dict[ClientConnection, None] = {}  # half-closed; they still hold a descriptor
+        # half-closed connections, which still hold a descriptor, and Twisted's delayed calls that end them
+        self.lingering: dict[ClientConnection, Any] = {}
         self._without_call: dict[ClientConnection, None] = {}  # have sent no valid call; oldest first
         self.violating: dict[ClientConnection, None] = {}  # have sent an invalid call
         self._max_lingering = limits.max_lingering
@@ -138,8 +139,9 @@
 
     def start_lingering(self, connection: ClientConnection) -> None:
         """Let a half-closed connection linger up to `linger_timeout_s`; over the maximum the oldest ends."""
-        self.lingering[connection] = None
-        self.call_later(self.limits.linger_timeout_s, self._end_lingering, connection)
+        self.lingering[connection] = self.call_later(
+            self.limits.linger_timeout_s, self._end_lingering, connection
+        )
         if len(self.lingering) > self._max_lingering:
             self._end_lingering(next(iter(self.lingering)))
 
@@ -151,7 +153,9 @@
 
     def stop_lingering(self, connection: ClientConnection) -> None:
         """Forget a lingering connection that is closed, or whose linger timeout has passed."""
-        self.lingering.pop(connection, None)
+        timeout = self.lingering.pop(connection, None)
+        if timeout is not None and timeout.active():
+            timeout.cancel()  # it would keep the closed connection in memory until the linger timeout
 
     def check_unsent_bytes(self) -> None:
         """Abort the connection with the most unsent bytes if all together exceed their limit."""
--- a/tests/protocols/clients/test_connection_manager.py
+++ b/tests/protocols/clients/test_connection_manager.py
@@ -228,6 +228,19 @@
     assert len(bed.clients.lingering) == 1
 
 
+def test_closed_connections_leave_no_linger_timeouts_behind() -> None:
+    """Guards against memory over its limit: thousands of closed connections were held for 0.5 s each."""
+    bed = ClientBed(max_pooled_buffers=8, max_connections=300, max_lingering=3)
+    for _ in range(200):
+        bed.connect()[0].dataReceived(HALF_CALL)
+    assert len(bed.clients.lingering) == 3
+    ends = [call for call in bed.reactor.getDelayedCalls() if call.func == bed.clients._end_lingering]
+    assert len(ends) == 3
+    for connection in list(bed.clients.lingering):
+        connection.connectionLost(CONNECTION_DONE)
+    assert not any(call.func == bed.clients._end_lingering for call in bed.reactor.getDelayedCalls())
+
+
 def test_client_that_does_not_read_is_still_read_and_its_answers_limited() -> None:
     """A connection that is not read reveals no close, so requests of a client that has gone could be sent."""
     bed = ClientBed()
