Known red: a request after a quiet time dates from the last read, and fails as overdue

Traced: not load. The deadline that was 2.7 s past is the request's own: it was dated 26.153 s, when the last bytes before it had been read, plus its limit of 1 s and 20 ms.

--- a/tests/dispatcher/test_arrival_time.py
+++ b/tests/dispatcher/test_arrival_time.py
@@ -62,3 +62,15 @@
     polled_us = bed.now_us
     bed.now_us += 100_000
     assert bed.dispatcher.arrival_us() == polled_us
+
+
+def test_request_right_after_a_quiet_time_does_not_date_from_its_beginning() -> None:
+    """Known red: read within 1 ms of a heartbeat or batch, a request dates from the last read, and fails."""
+    bed = DispatcherBed()
+    bed.dispatcher.heartbeat(100_000)
+    bed.dispatcher.arrival_us()  # the last read for 3 s
+    for _ in range(30):
+        bed.now_us += 100_000
+        bed.dispatcher.heartbeat(100_000)
+    bed.now_us += 500
+    assert bed.now_us - bed.dispatcher.arrival_us() <= 150_000  # the slack of the time that is passed on
