--- a/ashcross/simulation/commands.py
+++ b/ashcross/simulation/commands.py
@@ -36,6 +36,7 @@
 KEPT_SCENARIOS = ROOT / "tests" / "scripts"
 # No seed of 0:800 finds these mutants. For each there is a kept scenario that does.
 SCRIPT_ONLY_MUTANTS = (
+    "attempt-surely-on-its-engine",
     "clock-follows-steps",
     "ends-over-unread-calls",
     "goes-on-with-what-was-known",
