--- a/review/standins2.py
+++ b/review/standins2.py
@@ -537,14 +537,32 @@
     record: Record
     folder: Path
     trouble: bool
+    dispatchers: list[Dispatcher] = field(default_factory=list)
+    helpers: list[Any] = field(default_factory=list)
+
+    async def helper(self, script: str, *arguments: str) -> None:
+        """Start a script of the case as a process of its own, for instance with bad clients."""
+        process = await asyncio.create_subprocess_exec(sys.executable, "-B", script, *arguments)
+        self.helpers.append(process)
 
-    async def dispatcher(self, bulletin: Bulletin, case_settings: dict[str, Any]) -> Dispatcher:
+    async def end(self) -> None:
+        """End all processes that were started."""
+        for process in self.helpers:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+        for dispatcher in self.dispatchers:
+            await dispatcher.end()
+
+    async def dispatcher(
+        self, bulletin: Bulletin, case_settings: dict[str, Any], memory_mb: int = 192
+    ) -> Dispatcher:
         """Start a dispatcher with the events of the bulletin so far."""
         config = {
             "name": "d1",
             "listen": f"{HOST}:0",
             "seed": secrets.token_hex(8),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
             "bulletin": bulletin.address,
             "known": bulletin.known(),
             "settings": case_settings,
@@ -554,8 +572,6 @@
         await dispatcher.start()
         return dispatcher
 
-    dispatchers: list[Dispatcher] = field(default_factory=list)
-
 
 def main(folder: str, case: Callable[[Scene], Awaitable[int]]) -> None:
     """Run a case, end everything that it started, and exit with its code."""
@@ -569,8 +585,7 @@
         try:
             return await asyncio.wait_for(case(scene), 110)
         finally:
-            for dispatcher in scene.dispatchers:
-                await dispatcher.end()
+            await scene.end()
 
     try:
         code = asyncio.run(whole())
