--- a/review/standins2.py
+++ b/review/standins2.py
@@ -582,6 +582,8 @@
     record.note(f"disruption: {'yes' if scene.trouble else 'no'}")
 
     async def whole() -> int:
+        task: Any = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             return await asyncio.wait_for(case(scene), 110)
         finally:
@@ -589,7 +591,7 @@
 
     try:
         code = asyncio.run(whole())
-    except Exception as error:  # a fault of the case itself must not pass for a broken rule
+    except (Exception, asyncio.CancelledError) as error:  # this must not pass for a broken rule
         record.note(f"could not run: {type(error).__name__} {error}")
     finally:
         shutil.rmtree(scratch, ignore_errors=True)
